Start the workspace with the design page and the stateless decisions

Cause: a new project needs one page that all packages are built from, and tables that every balancer computes alike. Ruled out: an owner table per zone, because the fabric may deliver a packet of one flow to balancers of several zones.

--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Caller side.
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Emulated peers.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator side.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer side.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Platform side.
--- /dev/null
+++ b/crates/policy/src/config.rs
@@ -0,0 +1,134 @@
+//! Routes and pools as a balancer has them in force.
+
+use {
+    crate::{
+        id::{self, Generation, Map, PoolId, RouteId, UpstreamId},
+        lookup,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// A service that callers reach.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Name of the service.
+    pub name: String,
+    /// Version of this object.
+    pub generation: Generation,
+    /// Address that callers send to.
+    pub address: SocketAddr,
+    /// Name of the pool that serves the route.
+    pub pool: String,
+    /// Longest time from a request's arrival to its answer.
+    pub deadline: Duration,
+}
+
+/// An upstream of a pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upstream {
+    /// Name, unique in its pool.
+    pub name: String,
+    /// Address of its CoAP server.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Share of the flows relative to the other upstreams of the pool; 0 gets no new flows.
+    pub weight: u32,
+    /// Whether the operator is draining it.
+    pub drain: bool,
+}
+
+/// The upstreams that serve a route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pool {
+    /// Name, which routes refer to.
+    pub name: String,
+    /// Version of this object.
+    pub generation: Generation,
+    /// Requests that one upstream works on at a time.
+    pub slots: u32,
+    /// Open flows that one upstream accepts.
+    pub connections: u32,
+    /// Upstreams in the order of the table.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// A pool with what is derived from it.
+#[derive(Debug)]
+pub struct Resolved {
+    /// The pool as configured.
+    pub pool: Arc<Pool>,
+    /// Default upstream of each flow.
+    pub table: lookup::Table,
+    /// Position of each upstream in the pool.
+    pub positions: Map<UpstreamId, usize>,
+}
+
+/// An immutable set of routes and pools, swapped as a whole.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// Routes by the address that callers send to.
+    pub routes: Map<SocketAddr, Arc<Route>>,
+    /// Pools by the hash of their name.
+    pub pools: Map<PoolId, Arc<Resolved>>,
+}
+
+impl Route {
+    /// Returns the identifier of the route.
+    pub fn id(&self) -> RouteId {
+        id::from_name(&self.name)
+    }
+
+    /// Returns the identifier of the pool that serves the route.
+    pub fn pool_id(&self) -> PoolId {
+        id::from_name(&self.pool)
+    }
+}
+
+impl Resolved {
+    /// Derives the default table of a pool.
+    pub fn new(pool: Arc<Pool>) -> Resolved {
+        let id = |upstream: &Upstream| id::from_upstream(&pool.name, &upstream.name);
+        let input = |upstream: &Upstream| lookup::Input {
+            id: id(upstream),
+            weight: upstream.weight,
+        };
+        let inputs: Vec<lookup::Input> = pool.upstreams.iter().map(input).collect();
+        let table = lookup::Table::new(&inputs, lookup::pool_slots(inputs.len()));
+        let positions = pool
+            .upstreams
+            .iter()
+            .enumerate()
+            .map(|(at, upstream)| (id(upstream), at))
+            .collect();
+        Resolved {
+            pool,
+            table,
+            positions,
+        }
+    }
+
+    /// Returns an upstream by its identifier.
+    pub fn upstream(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.positions.get(&id).map(|&at| &self.pool.upstreams[at])
+    }
+}
+
+impl Snapshot {
+    /// Derives a snapshot from the objects in force.
+    pub fn new(routes: Vec<Route>, pools: Vec<Pool>) -> Snapshot {
+        let resolved = |pool: Pool| {
+            (
+                id::from_name(&pool.name),
+                Arc::new(Resolved::new(Arc::new(pool))),
+            )
+        };
+        Snapshot {
+            routes: routes
+                .into_iter()
+                .map(|route| (route.address, Arc::new(route)))
+                .collect(),
+            pools: pools.into_iter().map(resolved).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,19 @@
+//! Decisions of the skylarkflow load balancer, free of I/O.
+//!
+//! Every state machine in this crate takes a time, an event and, where it needs one, a seeded random source, and
+//! returns actions. Nothing here opens a socket, reads a clock or starts a thread, so that a script in virtual time
+//! gives the same verdict on every run. See [the design page](../../../docs/design.md) for the rules and their reasons.
+//!
+//! Start at [`balancer::Core`], which puts the modules together for one balancer.
+
+pub mod balancer;
+pub mod config;
+pub mod exchange;
+pub mod flow;
+pub mod id;
+pub mod lookup;
+pub mod owner;
+pub mod vm;
+pub mod zone;
+
+pub use crate::id::{Generation, Incarnation, Map, PoolId, RouteId, Set, UpstreamId, VmId};
--- /dev/null
+++ b/crates/policy/src/lookup.rs
@@ -0,0 +1,149 @@
+//! Fixed-size lookup tables in the manner of Maglev.
+//!
+//! Every balancer computes the same table from the same inputs, so that agreement needs no messages. See
+//! [ownership](../../../docs/design.md#4-ownership) for the alternatives that were weighed.
+
+use {crate::flow::Hash, xxhash_rust::xxh3::xxh3_64_with_seed};
+
+/// Number of slots of an owner table; a prime, so that every step visits all slots.
+pub const OWNER_SLOTS: usize = 65_537;
+
+/// Slots for each entry of a pool's table.
+const SLOTS_PER_ENTRY: usize = 100;
+
+/// Primes that serve as table sizes.
+const SIZES: [usize; 9] = [251, 509, 1_021, 2_039, 4_093, 8_191, 16_381, 32_749, 65_537];
+
+const OFFSET_SEED: u64 = 0x6f66_6673;
+const SKIP_SEED: u64 = 0x736b_6970;
+const EMPTY: u16 = u16::MAX;
+
+/// An input of a table: a stable identifier and its share of the slots.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Input {
+    /// Identifier that every balancer derives alike.
+    pub id: u64,
+    /// Share of the slots relative to the other inputs; 0 receives none.
+    pub weight: u32,
+}
+
+/// A lookup table from a flow hash to an identifier.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Table {
+    ids: Vec<u64>,
+    slots: Vec<u16>,
+}
+
+struct Cursor {
+    index: u16,
+    next: usize,
+    skip: usize,
+    weight: u32,
+    credit: u32,
+}
+
+impl Table {
+    /// Builds a table of the given prime number of slots.
+    ///
+    /// The order of the inputs does not matter. At most 65,534 inputs are used.
+    pub fn new(inputs: &[Input], size: usize) -> Table {
+        let mut inputs: Vec<Input> = inputs
+            .iter()
+            .copied()
+            .filter(|input| input.weight > 0)
+            .collect();
+        inputs.sort_by_key(|input| input.id);
+        inputs.dedup_by_key(|input| input.id);
+        inputs.truncate(usize::from(EMPTY));
+        if inputs.is_empty() {
+            return Table::default();
+        }
+        let slots = fill(&inputs, size);
+        let ids = inputs.iter().map(|input| input.id).collect();
+        Table { ids, slots }
+    }
+
+    /// Returns the identifier that serves a hash, or `None` if the table has no inputs.
+    pub fn get(&self, hash: Hash) -> Option<u64> {
+        if self.slots.is_empty() {
+            return None;
+        }
+        let slot = (hash % self.slots.len() as u64) as usize;
+        self.ids.get(usize::from(self.slots[slot])).copied()
+    }
+
+    /// Returns the identifiers in ascending order.
+    pub fn ids(&self) -> &[u64] {
+        &self.ids
+    }
+
+    /// Returns the number of slots that name another identifier in `other`, which has the same size.
+    pub fn moved(&self, other: &Table) -> usize {
+        let slots = self.slots.iter().zip(&other.slots);
+        slots
+            .filter(|&(&a, &b)| self.ids.get(usize::from(a)) != other.ids.get(usize::from(b)))
+            .count()
+    }
+}
+
+/// Returns the number of slots for a pool of `entries` upstreams.
+pub fn pool_slots(entries: usize) -> usize {
+    let wanted = entries.saturating_mul(SLOTS_PER_ENTRY);
+    SIZES
+        .into_iter()
+        .find(|&size| size >= wanted)
+        .unwrap_or(OWNER_SLOTS)
+}
+
+fn fill(inputs: &[Input], size: usize) -> Vec<u16> {
+    let largest = inputs.iter().map(|input| input.weight).max().unwrap_or(1);
+    let mut cursors = cursors(inputs, size);
+    let mut slots = vec![EMPTY; size];
+    let mut free = size;
+    loop {
+        for cursor in &mut cursors {
+            cursor.credit += cursor.weight;
+            if cursor.credit < largest {
+                continue;
+            }
+            cursor.credit -= largest;
+            claim(&mut slots, cursor);
+            free -= 1;
+            if free == 0 {
+                return slots;
+            }
+        }
+    }
+}
+
+fn cursors(inputs: &[Input], size: usize) -> Vec<Cursor> {
+    let size = size as u64;
+    let cursor = |(index, input): (usize, &Input)| {
+        let bytes = input.id.to_be_bytes();
+        Cursor {
+            index: index as u16,
+            next: (xxh3_64_with_seed(&bytes, OFFSET_SEED) % size) as usize,
+            skip: (xxh3_64_with_seed(&bytes, SKIP_SEED) % (size - 1) + 1) as usize,
+            weight: input.weight,
+            credit: 0,
+        }
+    };
+    inputs.iter().enumerate().map(cursor).collect()
+}
+
+fn claim(slots: &mut [u16], cursor: &mut Cursor) {
+    while slots[cursor.next] != EMPTY {
+        cursor.advance(slots.len());
+    }
+    slots[cursor.next] = cursor.index;
+    cursor.advance(slots.len());
+}
+
+impl Cursor {
+    fn advance(&mut self, size: usize) {
+        self.next += self.skip;
+        if self.next >= size {
+            self.next -= size;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/owner.rs
@@ -0,0 +1,123 @@
+//! From a flow to the balancer that owns it.
+
+use {
+    crate::{
+        flow::Hash,
+        id::{Map, VmId},
+        lookup::{self, Input, Table},
+        zone::Rank,
+    },
+    std::net::SocketAddr,
+};
+
+/// A balancer that may own flows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Identifier of its VM.
+    pub id: VmId,
+    /// Availability zone.
+    pub zone: String,
+    /// Address of its peer socket.
+    pub address: SocketAddr,
+}
+
+/// Who serves a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// A balancer of the flow's home zone.
+    Owner(VmId),
+    /// A balancer of another zone, because no balancer of the home zone is reachable.
+    Acting(VmId),
+    /// No balancer is known.
+    Nobody,
+}
+
+/// The owner tables of all zones, immutable and swapped as a whole.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    zones: Vec<Zone>,
+    addresses: Map<VmId, SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+struct Zone {
+    name: String,
+    table: Table,
+}
+
+impl View {
+    /// Builds the tables.
+    ///
+    /// `zones` names every zone that may be a home zone, also those without a reachable member.
+    pub fn new<'a>(zones: impl IntoIterator<Item = &'a str>, members: &'a [Member]) -> View {
+        let mut names: Vec<&str> = zones
+            .into_iter()
+            .chain(members.iter().map(|member| &*member.zone))
+            .collect();
+        names.sort_unstable();
+        names.dedup();
+        View {
+            zones: names
+                .into_iter()
+                .map(|name| Zone::new(name, members))
+                .collect(),
+            addresses: members
+                .iter()
+                .map(|member| (member.id, member.address))
+                .collect(),
+        }
+    }
+
+    /// Returns who serves a flow.
+    pub fn decide(&self, flow: Hash) -> Decision {
+        let rank = Rank::new(self.zones.iter().map(|zone| &*zone.name), flow);
+        let home = rank.home();
+        for name in rank.iter() {
+            let Some(owner) = self.owner_in(name, flow) else {
+                continue;
+            };
+            return if Some(name) == home {
+                Decision::Owner(owner)
+            } else {
+                Decision::Acting(owner)
+            };
+        }
+        Decision::Nobody
+    }
+
+    /// Returns the address of a member's peer socket.
+    pub fn address(&self, id: VmId) -> Option<SocketAddr> {
+        self.addresses.get(&id).copied()
+    }
+
+    fn owner_in(&self, name: &str, flow: Hash) -> Option<VmId> {
+        let zone = self.zones.iter().find(|zone| zone.name == name)?;
+        zone.table.get(flow)
+    }
+}
+
+impl Zone {
+    fn new(name: &str, members: &[Member]) -> Zone {
+        let members = members.iter().filter(|member| member.zone == name);
+        let inputs: Vec<Input> = members
+            .map(|member| Input {
+                id: member.id,
+                weight: 1,
+            })
+            .collect();
+        Zone {
+            name: name.to_owned(),
+            table: Table::new(&inputs, lookup::OWNER_SLOTS),
+        }
+    }
+}
+
+impl Decision {
+    /// Returns the balancer that serves the flow, if any.
+    pub fn balancer(self) -> Option<VmId> {
+        match self {
+            Decision::Owner(id) | Decision::Acting(id) => Some(id),
+            Decision::Nobody => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the load balancer.
+
+fn main() {}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Upstream side.
