Serve a request over separate processes

Cause: the project needs one whole path before its decisions are refined. Change: ingress with PROXY protocol headers, CoAP on both sides, forwarding to the flow's owner, tables and VM list from the platform; emulated fabric, platform, upstreams and callers, each as a process of its own. Ruled out: PROXY protocol headers between balancers as well, because they have no room for the fabric's socket and the hop count. Before: with forwarding disabled, both process tests time out, because most datagrams reach a balancer that does not own the flow. After: 20 of 20 requests on new flows are answered through four balancers, and with two services 40 of 40 answers come from the right one.

--- /dev/null
+++ b/crates/skylarkflow/src/emulate.rs
@@ -0,0 +1,129 @@
+//! Emulated peers as processes of their own, for trials and tests.
+
+use {
+    crate::command::Result,
+    argh::FromArgs,
+    serde_json::json,
+    skylarkflow_emulator::{
+        fabric::{self, Fabric},
+        platform::Platform,
+        upstream::{self, Upstream},
+    },
+    std::{future, net::SocketAddr, thread, time::Duration},
+    tokio::runtime,
+};
+
+/// Run an emulated peer until the process is stopped; prints its addresses as one line of JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "emulate")]
+pub struct Emulate {
+    #[argh(subcommand)]
+    peer: Peer,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Peer {
+    Fabric(FabricPeer),
+    Platform(PlatformPeer),
+    Upstream(UpstreamPeer),
+}
+
+/// Spray datagrams of callers over balancers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fabric")]
+struct FabricPeer {
+    /// address of a service; port 0 takes a free port; repeatable
+    #[argh(option)]
+    service: Vec<SocketAddr>,
+    /// ingress address of a balancer; repeatable
+    #[argh(option)]
+    balancer: Vec<SocketAddr>,
+    /// seed of the choice of a balancer
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Serve the object store and the VM list.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformPeer {
+    /// address of the HTTP API
+    #[argh(option)]
+    address: SocketAddr,
+}
+
+/// Serve CoAP requests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamPeer {
+    /// address of the CoAP server
+    #[argh(option)]
+    address: SocketAddr,
+    /// name that the upstream answers with
+    #[argh(option)]
+    name: String,
+    /// service that the upstream belongs to
+    #[argh(option)]
+    service: String,
+    /// requests worked on at a time
+    #[argh(option, default = "2")]
+    slots: usize,
+    /// milliseconds that a request takes
+    #[argh(option, default = "0")]
+    service_time_ms: u64,
+}
+
+impl Emulate {
+    /// Runs the emulated peer.
+    pub fn run(self) -> Result {
+        match self.peer {
+            Peer::Fabric(peer) => peer.run(),
+            Peer::Platform(peer) => peer.run(),
+            Peer::Upstream(peer) => peer.run(),
+        }
+    }
+}
+
+impl FabricPeer {
+    fn run(self) -> Result {
+        let fabric = Fabric::start(fabric::Settings {
+            services: self.service,
+            balancers: self.balancer,
+            seed: self.seed,
+        })?;
+        println!("{}", json!({ "services": fabric.services() }));
+        wait()
+    }
+}
+
+impl PlatformPeer {
+    fn run(self) -> Result {
+        let runtime = runtime::Runtime::new()?;
+        runtime.block_on(async {
+            let address = Platform::default().serve(self.address).await?;
+            println!("{}", json!({ "address": address }));
+            future::pending::<Result>().await
+        })
+    }
+}
+
+impl UpstreamPeer {
+    fn run(self) -> Result {
+        let upstream = Upstream::start(upstream::Settings {
+            address: self.address,
+            name: self.name,
+            service: self.service,
+            slots: self.slots,
+            service_time: Duration::from_millis(self.service_time_ms),
+        })?;
+        println!("{}", json!({ "address": upstream.address() }));
+        wait()
+    }
+}
+
+fn wait() -> Result {
+    loop {
+        thread::park();
+    }
+}
--- a/crates/skylarkflow/src/main.rs
+++ b/crates/skylarkflow/src/main.rs
@@ -1,3 +1,19 @@
-//! Command line of the load balancer.
+//! Layer-4 load balancer for small service operators.
 
-fn main() {}
+mod command;
+mod daemon;
+mod emulate;
+mod settings;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: command::Arguments = argh::from_env();
+    match arguments.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("skylarkflow: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -0,0 +1,152 @@
+//! Processes under test, stopped when dropped.
+
+use {
+    reqwest::{Client, header::IF_MATCH},
+    serde_json::{Value, json},
+    skylarkflow_emulator::caller::Caller,
+    std::{
+        fs,
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+};
+
+/// Generous limit for a condition to hold.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A process that has printed its addresses.
+pub struct Process {
+    child: Child,
+    pub ready: Value,
+}
+
+/// A platform, balancers, upstreams of two services and a fabric.
+pub struct Deployment {
+    _processes: Vec<Process>,
+    pub services: Vec<SocketAddr>,
+    _directory: TempDir,
+}
+
+impl Process {
+    pub fn start(arguments: &[&str]) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_skylarkflow"));
+        let mut child = command
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is a pipe");
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the process prints its addresses");
+        let ready = serde_json::from_str(&line).expect("the addresses are JSON");
+        Process { child, ready }
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let text = self.ready[name].as_str().expect("an address");
+        text.parse().expect("an address and port")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Deployment {
+    /// Starts `balancers` balancers in two zones and one upstream for each service.
+    pub async fn start(services: &[&str], balancers: usize) -> Deployment {
+        let directory = TempDir::new().expect("a temporary directory");
+        let platform = Process::start(&["emulate", "platform", "--address", "127.0.0.1:0"]);
+        let base = format!("http://{}", platform.address("address"));
+        let mut processes = vec![platform];
+        let mut arguments = vec!["emulate".to_owned(), "fabric".to_owned()];
+        for index in 0..balancers {
+            let path = directory.path().join(format!("entry-{index}.yaml"));
+            let zone = ["tacoma", "salem"][index % 2];
+            let text = format!("name: entry-{index}\nzone: {zone}\nplatform: {base}\n");
+            fs::write(&path, text).expect("the settings are written");
+            let path = path.to_str().expect("a path in UTF-8");
+            let balancer = Process::start(&["run", "--settings", path]);
+            let record = json!({
+                "name": format!("entry-{index}"), "zone": zone, "role": "entry",
+                "state": "live", "address": balancer.address("peer"),
+            });
+            put(&format!("{base}/v1/vms/entry-{index}"), &record).await;
+            arguments.extend([
+                "--balancer".to_owned(),
+                balancer.address("ingress").to_string(),
+            ]);
+            processes.push(balancer);
+        }
+        for _ in services {
+            arguments.extend(["--service".to_owned(), "127.0.0.1:0".to_owned()]);
+        }
+        let arguments: Vec<&str> = arguments.iter().map(|text| &**text).collect();
+        let fabric = Process::start(&arguments);
+        let addresses: Vec<SocketAddr> =
+            serde_json::from_value(fabric.ready["services"].clone()).expect("addresses");
+        processes.push(fabric);
+        for (service, address) in services.iter().zip(&addresses) {
+            processes.push(upstream(&base, service, *address).await);
+        }
+        Deployment {
+            _processes: processes,
+            services: addresses,
+            _directory: directory,
+        }
+    }
+}
+
+async fn upstream(base: &str, service: &str, address: SocketAddr) -> Process {
+    let name = format!("{service}-1");
+    let arguments = ["emulate", "upstream", "--address", "127.0.0.1:0"];
+    let names = ["--name", &name, "--service", service];
+    let upstream = Process::start(&[&arguments[..], &names[..]].concat());
+    let pool = json!({
+        "name": service, "generation": 1, "slots": 2, "connections": 2000,
+        "upstreams": [{
+            "name": name, "address": upstream.address("address"), "zone": "tacoma",
+            "weight": 1, "drain": false,
+        }],
+    });
+    let route = json!({
+        "name": service, "generation": 1, "address": address, "pool": service, "deadline": "10s",
+    });
+    put(&format!("{base}/v1/objects/pools/{service}"), &pool).await;
+    put(&format!("{base}/v1/objects/routes/{service}"), &route).await;
+    upstream
+}
+
+async fn put(url: &str, value: &Value) {
+    let request = Client::new().put(url).header(IF_MATCH, "\"0\"").json(value);
+    let response = request.send().await.expect("the platform answers");
+    assert!(
+        response.status().is_success(),
+        "{url}: {}",
+        response.status()
+    );
+}
+
+/// Repeats a request on new flows until one is answered.
+pub fn first_answer(service: SocketAddr) -> Caller {
+    let end = Instant::now() + LIMIT;
+    while Instant::now() < end {
+        let mut caller = Caller::new(service).expect("a socket");
+        let timeout = Duration::from_millis(200);
+        if caller
+            .request(coap_lite::RequestType::Get, "ready", timeout)
+            .is_ok()
+        {
+            return caller;
+        }
+    }
+    panic!("no answer within {LIMIT:?}");
+}
--- /dev/null
+++ b/crates/upstream/src/message.rs
@@ -0,0 +1,98 @@
+//! CoAP messages to and from upstreams.
+
+use {
+    crate::error::{Code, Error, Result},
+    coap_lite::{CoapOption, MessageClass, MessageType, Packet, ResponseType},
+    skylarkflow_policy::exchange::{Kind, Outcome, Response, Token},
+    std::time::Duration,
+};
+
+/// Elective option with the Unix time in milliseconds after which an upstream must not run a request.
+pub const DEADLINE_OPTION: CoapOption = CoapOption::Unknown(65_000);
+
+/// Elective option with the load of an upstream: slots in use, slots, queue length, draining; one byte each.
+pub const LOAD_OPTION: CoapOption = CoapOption::Unknown(65_004);
+
+/// What a balancer adds to a caller's request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Dispatch<'a> {
+    /// Name of the service, sent as Uri-Host.
+    pub service: &'a str,
+    /// Token of the dispatch.
+    pub token: Token,
+    /// Message ID of the dispatch.
+    pub message_id: u16,
+    /// Unix time after which the upstream must not run the request.
+    pub deadline: Duration,
+}
+
+/// Writes a caller's request as a message to an upstream.
+///
+/// # Errors
+///
+/// Fails if the caller's message is malformed.
+pub fn to_vec(dispatch: &Dispatch<'_>, request: &[u8]) -> Result<Vec<u8>> {
+    let mut packet = Packet::from_bytes(request).map_err(|_| Error::from(Code::Message))?;
+    packet.header.set_type(MessageType::Confirmable);
+    packet.header.message_id = dispatch.message_id;
+    packet.set_token(dispatch.token.as_slice().to_vec());
+    replace(
+        &mut packet,
+        CoapOption::UriHost,
+        dispatch.service.as_bytes(),
+    );
+    let deadline = dispatch.deadline.as_millis() as u64;
+    replace(&mut packet, DEADLINE_OPTION, &deadline.to_be_bytes());
+    packet
+        .to_bytes_unlimited()
+        .map_err(|_| Code::Encoding.into())
+}
+
+/// Reads a message of an upstream.
+///
+/// # Errors
+///
+/// Fails if the message is malformed or a request.
+pub fn from_slice(bytes: &[u8]) -> Result<Response> {
+    let packet = Packet::from_bytes(bytes).map_err(|_| Error::from(Code::Message))?;
+    let token = Token::from_slice(packet.get_token()).ok_or(Error::from(Code::Token))?;
+    Ok(Response {
+        kind: kind(packet.header.get_type()),
+        message_id: packet.header.message_id,
+        token,
+        outcome: outcome(&packet)?,
+        bytes: bytes.to_vec(),
+    })
+}
+
+fn outcome(packet: &Packet) -> Result<Outcome> {
+    let MessageClass::Response(code) = packet.header.code else {
+        return Err(Code::Class.into());
+    };
+    if code != ResponseType::ServiceUnavailable {
+        return Ok(Outcome::Answered);
+    }
+    let load = packet.get_first_option(LOAD_OPTION);
+    let draining = load
+        .and_then(|load| load.get(3))
+        .is_some_and(|&flag| flag != 0);
+    Ok(if draining {
+        Outcome::Draining
+    } else {
+        Outcome::Refused
+    })
+}
+
+fn replace(packet: &mut Packet, option: CoapOption, value: &[u8]) {
+    packet.clear_option(option);
+    packet.add_option(option, value.to_vec());
+}
+
+fn kind(message_type: MessageType) -> Kind {
+    match message_type {
+        MessageType::Confirmable => Kind::Confirmable,
+        MessageType::NonConfirmable => Kind::NonConfirmable,
+        MessageType::Acknowledgement => Kind::Acknowledgement,
+        MessageType::Reset => Kind::Reset,
+    }
+}
