Define the interfaces of the request path

Cause: the daemon, the dispatcher and the request path are written in parallel and need agreed types.

`dispatch` holds the boundary to the dispatcher of a pool and a first-in-first-out implementation as the baseline. `event` holds the inputs and outputs of `balancer::Core`, `handover` and `dedupe` the messages between balancers. `Dispatcher::set_pool` is added to the agreed trait, since a pool changes while jobs are queued or in flight. `Core::new` takes the dispatcher factory; `set_view`, `set_tables` and `set_fence` take the time.

Ruled out: recreating the dispatcher at each change of a pool, because it would lose queues and slots in use.

Conclusion: interfaces only; behaviour is as before.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         config::Snapshot,
+        dispatch::Factory,
         exchange::{Body, Kind, Outcome, Reply, Request, Response, Token},
         flow::Key,
-        id::{Incarnation, Map, UpstreamId, VmId},
+        id::{Incarnation, Map, VmId},
         owner::{Decision, View},
     },
     std::{
@@ -18,87 +19,6 @@
     },
 };
 
-/// Something that happened at a balancer.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A request of a flow that this balancer serves.
-    Request {
-        /// Fabric socket that delivered the datagram, possibly to another balancer.
-        fabric: SocketAddr,
-        /// Flow of the request.
-        key: Key,
-        /// The request.
-        request: Request,
-    },
-    /// An acknowledgement or a reset of a caller.
-    Acknowledgement {
-        /// Flow of the message.
-        key: Key,
-        /// Acknowledgement or reset.
-        kind: Kind,
-        /// Message ID of the owner's message.
-        message_id: u16,
-    },
-    /// A message of an upstream.
-    Response {
-        /// Source address of the datagram.
-        source: SocketAddr,
-        /// The message.
-        response: Response,
-    },
-    /// Time has passed; due every few milliseconds.
-    Tick,
-}
-
-/// Something that a balancer is to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Send a message to a caller.
-    Reply {
-        /// Fabric socket that takes the datagram.
-        fabric: SocketAddr,
-        /// Flow of the message.
-        key: Key,
-        /// The message.
-        reply: Reply,
-    },
-    /// Send a request to an upstream.
-    Dispatch {
-        /// Upstream that gets the request.
-        upstream: UpstreamId,
-        /// Address of the upstream.
-        address: SocketAddr,
-        /// Name of the service, sent as Uri-Host.
-        service: Arc<str>,
-        /// Token of the dispatch.
-        token: Token,
-        /// Message ID of the dispatch.
-        message_id: u16,
-        /// Time at which the upstream must no longer run the request, on the balancer's clock.
-        deadline: Duration,
-        /// The caller's message.
-        bytes: Vec<u8>,
-    },
-}
-
-/// What to do with a datagram that has just arrived.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Step {
-    /// Decode it and pass it to [`Core::handle`].
-    Local,
-    /// Pass it on to another balancer.
-    Forward {
-        /// The balancer.
-        to: VmId,
-        /// Address of its peer socket.
-        address: SocketAddr,
-    },
-    /// Drop it: no route has its address.
-    UnknownService,
-    /// Drop it: no balancer serves the flow.
-    NoOwner,
-}
-
 #[derive(Debug)]
 struct Dispatched {
     fabric: SocketAddr,
@@ -109,9 +29,13 @@
     token: Token,
 }
 
+pub use crate::event::{Action, Event, Note, Step};
+
 /// The decisions of one balancer.
-#[derive(Debug)]
 pub struct Core {
+    #[expect(dead_code, reason = "requests are dispatched without queues so far")]
+    factory: Factory,
+    held_until: Mutex<Duration>,
     id: VmId,
     incarnation: Incarnation,
     view: RwLock<Arc<View>>,
@@ -122,8 +46,12 @@
 
 impl Core {
     /// Creates the decisions of a balancer that knows neither members nor tables.
-    pub fn new(id: VmId, incarnation: Incarnation) -> Core {
+    ///
+    /// `incarnation` differs at each start of the balancer, so that no token is used twice.
+    pub fn new(id: VmId, incarnation: Incarnation, factory: Factory) -> Core {
         Core {
+            factory,
+            held_until: Mutex::default(),
             id,
             incarnation,
             view: RwLock::default(),
@@ -134,15 +62,41 @@
     }
 
     /// Puts a view of the members in force.
-    pub fn set_view(&self, view: View) {
+    ///
+    /// Previous views are kept until each of their members has handed over its flows or has died. A member that is
+    /// leaving and still answers claims is named by [`View::with_leaving`].
+    pub fn set_view(&self, _now: Duration, view: View) {
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
     }
 
     /// Puts routes and pools in force.
-    pub fn set_tables(&self, tables: Arc<Snapshot>) {
+    pub fn set_tables(&self, _now: Duration, tables: Arc<Snapshot>) {
         *self.tables.write().unwrap_or_else(PoisonError::into_inner) = tables;
     }
 
+    /// Allows dispatches of non-idempotent requests until `held_until`, on the balancer's clock.
+    ///
+    /// The quorum base extends it with each message from a majority of the zone.
+    pub fn set_fence(&self, _now: Duration, held_until: Duration) {
+        *self
+            .held_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = held_until;
+    }
+
+    /// Starts a planned leave: hands every flow over.
+    ///
+    /// The view that follows no longer names this balancer as a member.
+    pub fn leave(&self, _now: Duration) {}
+
+    /// Returns whether every flow is handed over and no request is in flight.
+    pub fn is_drained(&self) -> bool {
+        self.dispatched
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
+    }
+
     /// Returns the routes and pools in force.
     pub fn tables(&self) -> Arc<Snapshot> {
         self.tables
@@ -176,7 +130,7 @@
                 request,
             } => actions.extend(self.dispatch(now, fabric, key, request)),
             Event::Response { source, response } => actions.extend(self.answer(source, response)),
-            Event::Acknowledgement { .. } | Event::Tick => {}
+            Event::Acknowledgement { .. } | Event::Peer { .. } | Event::Tick => {}
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/dispatch.rs
@@ -0,0 +1,233 @@
+//! The boundary between the request path and the dispatcher of a pool.
+//!
+//! The request path decides whether a request may run; the dispatcher decides where and when. See
+//! [requests](../../../docs/design.md#6-requests).
+
+use {
+    crate::{
+        config::Resolved,
+        exchange::Effect,
+        flow::Hash,
+        id::{Map, UpstreamId},
+    },
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+};
+
+/// Identifies a job; equal to the token of its dispatch.
+pub type JobId = u64;
+
+/// Creates the dispatcher of a pool when the pool first appears.
+pub type Factory = Box<dyn Fn(&Arc<Resolved>) -> Box<dyn Dispatcher> + Send + Sync>;
+
+/// One unit of work that waits for or holds a slot of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Job {
+    /// Identifier, never used again.
+    pub id: JobId,
+    /// Flow of the request.
+    pub flow: Hash,
+    /// Upstream that serves the flow.
+    pub upstream: UpstreamId,
+    /// Class of the request, for the service time estimate.
+    pub class: u64,
+    /// Whether the flow has had an answer before, which gives it priority.
+    pub established: bool,
+    /// Time at which the request arrived.
+    pub arrived: Duration,
+    /// Time at which the request must have been answered.
+    pub deadline: Duration,
+    /// Whether a second run is harmless.
+    pub effect: Effect,
+}
+
+/// What a dispatcher has decided about a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The job holds a slot from now on and is to be sent.
+    Dispatch(JobId),
+    /// The job is not sent; the dispatcher has forgotten it.
+    Refuse {
+        /// The job.
+        id: JobId,
+        /// Earliest useful time of another try, in seconds.
+        max_age: u32,
+    },
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobResult {
+    /// The upstream answered.
+    Answered,
+    /// The upstream refused to run it.
+    Refused,
+    /// The deadline passed after the dispatch.
+    TimedOut,
+    /// It ended before its dispatch, or its slot was not used.
+    Cancelled,
+}
+
+/// The upstream of a new flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Whether it differs from the default of the pool's table.
+    pub exception: bool,
+}
+
+/// Slots, queues and placement of one pool.
+///
+/// [`balancer::Core`](crate::balancer::Core) calls it under a lock of its own. A verdict may name any job of the pool.
+pub trait Dispatcher: Send {
+    /// Puts a new version of the pool in force.
+    fn set_pool(&mut self, now: Duration, pool: &Arc<Resolved>);
+
+    /// Chooses the upstream of a new flow, or `None` if nothing can take it.
+    fn place(&mut self, now: Duration, flow: Hash) -> Option<Placement>;
+
+    /// Counts a flow that now belongs to an upstream.
+    fn flow_opened(&mut self, upstream: UpstreamId);
+
+    /// Counts a flow that no longer belongs to an upstream.
+    fn flow_closed(&mut self, upstream: UpstreamId);
+
+    /// Takes a job, which is queued, dispatched at once or refused.
+    fn submit(&mut self, now: Duration, job: Job, verdicts: &mut Vec<Verdict>);
+
+    /// Ends a job, which frees its slot or its place in the queue.
+    fn finished(
+        &mut self,
+        now: Duration,
+        id: JobId,
+        result: JobResult,
+        verdicts: &mut Vec<Verdict>,
+    );
+
+    /// Returns the earliest time to submit a refused job again under a new identifier, or `None` if the budget is spent.
+    ///
+    /// Called after [`finished`](Dispatcher::finished) for the same job.
+    fn retry(&mut self, now: Duration, id: JobId) -> Option<Duration>;
+
+    /// Re-evaluates queues; due every few milliseconds.
+    fn tick(&mut self, now: Duration, verdicts: &mut Vec<Verdict>);
+
+    /// Returns whether an upstream may serve an established flow; false if it is down or removed.
+    fn is_usable(&self, upstream: UpstreamId) -> bool;
+}
+
+/// A dispatcher with one first-in-first-out queue per upstream, the baseline of the measurements.
+#[derive(Debug)]
+pub struct Fifo {
+    pool: Arc<Resolved>,
+    queues: Map<UpstreamId, VecDeque<JobId>>,
+    running: Map<JobId, UpstreamId>,
+    waiting: Map<JobId, UpstreamId>,
+}
+
+impl Fifo {
+    /// Longest queue of one upstream, in requests.
+    const QUEUE_LIMIT: usize = 1_024;
+    /// Delay before a refused job is submitted again.
+    const BACKOFF: Duration = Duration::from_millis(50);
+
+    /// Creates the dispatcher of a pool.
+    pub fn new(pool: &Arc<Resolved>) -> Fifo {
+        Fifo {
+            pool: pool.clone(),
+            queues: Map::default(),
+            running: Map::default(),
+            waiting: Map::default(),
+        }
+    }
+
+    /// Returns a factory for [`Core::new`](crate::balancer::Core::new).
+    pub fn factory() -> Factory {
+        Box::new(|pool| Box::new(Fifo::new(pool)))
+    }
+
+    fn fill(&mut self, upstream: UpstreamId, verdicts: &mut Vec<Verdict>) {
+        let slots = self.pool.pool.slots as usize;
+        let mut busy = self.running.values().filter(|&&at| at == upstream).count();
+        let Some(queue) = self.queues.get_mut(&upstream) else {
+            return;
+        };
+        while busy < slots
+            && let Some(id) = queue.pop_front()
+        {
+            self.waiting.remove(&id);
+            self.running.insert(id, upstream);
+            verdicts.push(Verdict::Dispatch(id));
+            busy += 1;
+        }
+    }
+}
+
+impl Dispatcher for Fifo {
+    fn set_pool(&mut self, _now: Duration, pool: &Arc<Resolved>) {
+        self.pool = pool.clone();
+    }
+
+    fn place(&mut self, _now: Duration, flow: Hash) -> Option<Placement> {
+        let default = self.pool.table.get(flow)?;
+        let is_open = |id: UpstreamId| self.pool.upstream(id).is_some_and(|one| !one.drain);
+        if is_open(default) {
+            return Some(Placement {
+                upstream: default,
+                exception: false,
+            });
+        }
+        let ids = self.pool.table.ids().iter().copied();
+        let open: Vec<UpstreamId> = ids.filter(|&id| is_open(id)).collect();
+        let index = flow.checked_rem(open.len() as u64)? as usize;
+        Some(Placement {
+            upstream: open[index],
+            exception: true,
+        })
+    }
+
+    fn flow_opened(&mut self, _upstream: UpstreamId) {}
+
+    fn flow_closed(&mut self, _upstream: UpstreamId) {}
+
+    fn submit(&mut self, _now: Duration, job: Job, verdicts: &mut Vec<Verdict>) {
+        let queue = self.queues.entry(job.upstream).or_default();
+        if queue.len() >= Fifo::QUEUE_LIMIT {
+            verdicts.push(Verdict::Refuse {
+                id: job.id,
+                max_age: 1,
+            });
+            return;
+        }
+        queue.push_back(job.id);
+        self.waiting.insert(job.id, job.upstream);
+        self.fill(job.upstream, verdicts);
+    }
+
+    fn finished(
+        &mut self,
+        _now: Duration,
+        id: JobId,
+        _result: JobResult,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        if let Some(upstream) = self.waiting.remove(&id)
+            && let Some(queue) = self.queues.get_mut(&upstream)
+        {
+            queue.retain(|&queued| queued != id);
+        }
+        if let Some(upstream) = self.running.remove(&id) {
+            self.fill(upstream, verdicts);
+        }
+    }
+
+    fn retry(&mut self, now: Duration, _id: JobId) -> Option<Duration> {
+        Some(now + Fifo::BACKOFF)
+    }
+
+    fn tick(&mut self, _now: Duration, _verdicts: &mut Vec<Verdict>) {}
+
+    fn is_usable(&self, upstream: UpstreamId) -> bool {
+        self.pool.upstream(upstream).is_some()
+    }
+}
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -3,6 +3,8 @@
 //! The codec packages convert CoAP messages from and to these types, so that the decisions stay independent of the
 //! encoding.
 
+use serde::{Deserialize, Serialize};
+
 /// A token of RFC 7252, at most 8 bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Token {
@@ -24,7 +26,7 @@
 }
 
 /// Whether running a request twice has the effect of running it once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Effect {
     /// GET, PUT, DELETE, FETCH or iPATCH.
     Idempotent,
@@ -76,7 +78,7 @@
 }
 
 /// What a caller is told.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Body {
     /// The upstream's answer, to be sent with the caller's own token.
     Answer(Vec<u8>),
--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -1,6 +1,7 @@
 //! Flow keys and their hash.
 
 use {
+    serde::{Deserialize, Serialize},
     std::net::{IpAddr, SocketAddr},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -12,7 +13,7 @@
 const ENCODED_KEY_BYTES: usize = 36;
 
 /// The two ends of a flow as the caller sees them.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key {
     /// Address and port of the caller.
     pub caller: SocketAddr,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,12 @@
 
 pub mod balancer;
 pub mod config;
+pub mod dedupe;
+pub mod dispatch;
+pub mod event;
 pub mod exchange;
 pub mod flow;
+pub mod handover;
 pub mod id;
 pub mod lookup;
 pub mod owner;
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Adds balancers that are leaving: they own no flows but still answer claims.
+    pub fn with_leaving(mut self, leaving: &[Member]) -> View {
+        let addresses = leaving.iter().map(|member| (member.id, member.address));
+        self.addresses.extend(addresses);
+        self
+    }
+
     /// Returns who serves a flow.
     pub fn decide(&self, flow: Hash) -> Decision {
         let rank = Rank::new(self.zones.iter().map(|zone| &*zone.name), flow);
