--- a/crates/caller/src/envelope.rs
+++ b/crates/caller/src/envelope.rs
@@ -40,7 +40,7 @@
     Ok(Datagram {
         source,
         destination,
-        payload: &bytes[length..],
+        payload: bytes.get(length..).ok_or(Error::from(Code::Header))?,
     })
 }
 
--- a/crates/caller/src/message.rs
+++ b/crates/caller/src/message.rs
@@ -21,6 +21,11 @@
         /// Message ID of the owner's message.
         message_id: u16,
     },
+    /// An empty confirmable message, which is answered with a reset (CoAP ping).
+    Ping {
+        /// Message ID that the caller chose.
+        message_id: u16,
+    },
 }
 
 /// Reads a message of a caller.
@@ -39,6 +44,7 @@
         (MessageClass::Empty, Kind::Acknowledgement | Kind::Reset) => {
             Ok(Message::Acknowledgement { kind, message_id })
         }
+        (MessageClass::Empty, Kind::Confirmable) => Ok(Message::Ping { message_id }),
         _ => Err(Code::Class.into()),
     }
 }
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -1,67 +1,109 @@
 //! UDP datagrams between balancers.
+//!
+//! A datagram starts with the version of the format and its kind. A caller's datagram follows as the fabric delivered
+//! it, with its PROXY protocol header, so that passing it on copies it once and encodes nothing again.
 
 use {
-    crate::error::{Code, Error, Result},
-    serde::{Deserialize, Serialize},
-    skylarkflow_policy::flow::Key,
-    std::net::SocketAddr,
+    crate::{
+        control::Control,
+        error::{Code, Error, Result},
+    },
+    std::net::{IpAddr, Ipv6Addr, SocketAddr},
 };
 
-/// Version of the frame format.
-const VERSION: u8 = 1;
+/// Version of the format.
+const VERSION: u8 = 2;
 
-/// A datagram of a caller on its way to the balancer that owns the flow.
+const KIND_TRANSIT: u8 = 0;
+const KIND_CONTROL: u8 = 1;
+
+/// Bytes of the version and the kind.
+const PREFIX_BYTES: usize = 2;
+
+/// Bytes of an IPv6 address, or an IPv4 address mapped to one.
+const IP_BYTES: usize = 16;
+
+/// Bytes in front of a caller's datagram.
+pub const TRANSIT_BYTES: usize = PREFIX_BYTES + 1 + 8 + IP_BYTES + 2;
+
+/// A datagram of another balancer.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Frame<'a> {
+pub enum Datagram<'a> {
+    /// A caller's datagram.
+    Transit(Transit<'a>),
+    /// A message of the balancer itself.
+    Control(Control),
+}
+
+/// A caller's datagram on its way to the balancer that owns the flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Transit<'a> {
     /// Balancers that have passed the datagram on.
     pub hops: u8,
+    /// Number of the sender's view of the members.
+    pub view: u64,
     /// Fabric socket that delivered the datagram.
     pub fabric: SocketAddr,
-    /// Flow of the datagram.
-    pub key: Key,
-    /// The caller's datagram.
-    pub payload: &'a [u8],
+    /// The datagram as the fabric delivered it.
+    pub bytes: &'a [u8],
 }
 
-#[derive(Deserialize, Serialize)]
-struct Header(u8, u8, SocketAddr, SocketAddr, SocketAddr);
-
-/// Reads a frame.
+/// Reads a datagram.
 ///
 /// # Errors
 ///
-/// Fails if the frame is malformed or of an unknown version.
-pub fn from_slice(bytes: &[u8]) -> Result<Frame<'_>> {
-    let mut rest = bytes;
-    let header: Header = ciborium::from_reader(&mut rest).map_err(|_| Error::from(Code::Frame))?;
-    let Header(version, hops, fabric, caller, service) = header;
-    if version != VERSION {
-        return Err(Code::Version.into());
+/// Fails if the datagram is malformed or of an unknown version or kind.
+pub fn from_slice(bytes: &[u8]) -> Result<Datagram<'_>> {
+    let (prefix, rest) = split::<PREFIX_BYTES>(bytes)?;
+    match *prefix {
+        [VERSION, KIND_TRANSIT] => transit(rest).map(Datagram::Transit),
+        [VERSION, KIND_CONTROL] => Control::from_slice(rest).map(Datagram::Control),
+        [VERSION, _] => Err(Code::Kind.into()),
+        _ => Err(Code::Version.into()),
     }
-    let key = Key { caller, service };
-    Ok(Frame {
-        hops,
-        fabric,
-        key,
-        payload: rest,
-    })
 }
 
-/// Writes a frame.
+/// Writes a caller's datagram into `buffer`, whose former content is dropped.
+pub fn write_transit(transit: &Transit<'_>, buffer: &mut Vec<u8>) {
+    let ip = match transit.fabric.ip() {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped(),
+        IpAddr::V6(ip) => ip,
+    };
+    buffer.clear();
+    buffer.extend_from_slice(&[VERSION, KIND_TRANSIT, transit.hops]);
+    buffer.extend_from_slice(&transit.view.to_be_bytes());
+    buffer.extend_from_slice(&ip.octets());
+    buffer.extend_from_slice(&transit.fabric.port().to_be_bytes());
+    buffer.extend_from_slice(transit.bytes);
+}
+
+/// Writes a message of a balancer.
 ///
 /// # Errors
 ///
 /// Fails if the encoder does.
-pub fn to_vec(frame: &Frame<'_>) -> Result<Vec<u8>> {
-    let Frame {
-        hops,
-        fabric,
-        key,
-        payload,
-    } = frame;
-    let header = Header(VERSION, *hops, *fabric, key.caller, key.service);
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&header, &mut bytes).map_err(|_| Error::from(Code::Encoding))?;
-    bytes.extend_from_slice(payload);
+pub fn control_to_vec(control: &Control) -> Result<Vec<u8>> {
+    let mut bytes = vec![VERSION, KIND_CONTROL];
+    control.write(&mut bytes)?;
     Ok(bytes)
 }
+
+fn transit(bytes: &[u8]) -> Result<Transit<'_>> {
+    let (&[hops], rest) = split::<1>(bytes)?;
+    let (view, rest) = split::<8>(rest)?;
+    let (ip, rest) = split::<IP_BYTES>(rest)?;
+    let (port, bytes) = split::<2>(rest)?;
+    let ip = Ipv6Addr::from(*ip).to_canonical();
+    Ok(Transit {
+        hops,
+        view: u64::from_be_bytes(*view),
+        fabric: SocketAddr::new(ip, u16::from_be_bytes(*port)),
+        bytes,
+    })
+}
+
+fn split<const N: usize>(bytes: &[u8]) -> Result<(&[u8; N], &[u8])> {
+    bytes
+        .split_first_chunk::<N>()
+        .ok_or(Error::from(Code::Frame))
+}
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -2,10 +2,10 @@
 
 use derive_more::{Display, Error};
 
-/// Result of decoding or encoding a frame.
+/// Result of decoding or encoding a message.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// A frame that cannot be decoded or encoded.
+/// A message that cannot be decoded or encoded.
 #[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
 #[display("{code}")]
 pub struct Error {
@@ -14,11 +14,15 @@
 
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(crate) enum Code {
-    #[display("the frame is malformed")]
+    #[display("the datagram is malformed")]
     Frame,
-    #[display("the frame has an unknown version")]
+    #[display("the datagram has an unknown version")]
     Version,
-    #[display("the frame cannot be encoded")]
+    #[display("the datagram has an unknown kind")]
+    Kind,
+    #[display("the control message is malformed")]
+    Control,
+    #[display("the message cannot be encoded")]
     Encoding,
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,7 +1,9 @@
 //! Messages and links between balancers.
 //!
-//! Datagrams of flows travel between balancers as [`datagram::Frame`]s over UDP.
+//! Callers' datagrams and small control messages travel as UDP [`datagram`]s. [`control`] messages that are too large
+//! for a datagram travel over a link. Callers' datagrams never use a link, so that bulk cannot block them.
 
+pub mod control;
 pub mod datagram;
 pub mod error;
 
--- /dev/null
+++ b/crates/skylarkflow/src/clock.rs
@@ -0,0 +1,38 @@
+//! The balancer's clock: monotonic time since its start, with the wall time of that start.
+
+use {
+    skylarkflow_policy::id::Incarnation,
+    std::time::{Duration, Instant, SystemTime},
+};
+
+/// Monotonic time since the start of a balancer.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    epoch: Duration,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Clock {
+        Clock {
+            start: Instant::now(),
+            epoch: SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Converts a time on this clock to Unix time.
+    pub fn unix(&self, time: Duration) -> Duration {
+        self.epoch + time
+    }
+
+    /// Returns the number of this start, in milliseconds of Unix time, so that a restart within a second differs.
+    pub fn incarnation(&self) -> Incarnation {
+        self.epoch.as_millis() as Incarnation
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/context.rs
@@ -0,0 +1,220 @@
+//! What the threads of one balancer share.
+
+use {
+    crate::{
+        clock::Clock,
+        event::{self, Event},
+        journal::Journal,
+        metrics::{Counter, Metrics},
+        settings::Settings,
+        sockets::Sockets,
+    },
+    skylarkflow_operator::wire::Phase,
+    skylarkflow_policy::{
+        balancer::Core,
+        id::{self, Map, UpstreamId, VmId},
+        owner::Member,
+    },
+    std::{
+        fmt::Arguments,
+        net::{SocketAddr, UdpSocket},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// What the threads of one balancer share.
+pub struct Context {
+    /// Settings.
+    pub settings: Settings,
+    /// Decisions.
+    pub core: Core,
+    /// Sockets.
+    pub sockets: Sockets,
+    /// Clock of the decisions.
+    pub clock: Clock,
+    /// Log lines.
+    pub journal: Journal,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Balancers that this one knows.
+    pub members: RwLock<Arc<Roster>>,
+    drain: Mutex<Drain>,
+    draining: AtomicBool,
+    last_ingress_ms: AtomicU64,
+    stopped: AtomicBool,
+}
+
+/// Balancers of the view in force, with their names.
+#[derive(Debug, Default)]
+pub struct Roster {
+    /// Balancers and their states, ordered by name.
+    pub rows: Vec<Row>,
+    /// Positions in the rows.
+    pub positions: Map<VmId, usize>,
+}
+
+/// A balancer as this one knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// Name of the VM.
+    pub name: String,
+    /// The balancer.
+    pub member: Member,
+    /// Membership state in words.
+    pub state: &'static str,
+}
+
+/// Progress of a planned stop.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Drain {
+    /// How far it is.
+    pub phase: Phase,
+    /// When it started.
+    pub since: Option<Duration>,
+}
+
+impl Roster {
+    /// Creates a roster.
+    pub fn new(mut rows: Vec<Row>) -> Roster {
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        let positions = rows.iter().enumerate();
+        let positions = positions.map(|(at, row)| (row.member.id, at)).collect();
+        Roster { rows, positions }
+    }
+
+    /// Returns a balancer by its identifier.
+    pub fn get(&self, id: VmId) -> Option<&Row> {
+        self.positions.get(&id).map(|&at| &self.rows[at])
+    }
+}
+
+impl Context {
+    /// Creates the shared state.
+    pub fn new(
+        settings: Settings,
+        core: Core,
+        sockets: Sockets,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> Context {
+        Context {
+            journal: Journal::new(&settings.name),
+            settings,
+            core,
+            sockets,
+            clock,
+            metrics,
+            members: RwLock::default(),
+            drain: Mutex::default(),
+            draining: AtomicBool::default(),
+            last_ingress_ms: AtomicU64::default(),
+            stopped: AtomicBool::default(),
+        }
+    }
+
+    /// Returns the identifier of this balancer.
+    pub fn id(&self) -> VmId {
+        id::from_name(&self.settings.name)
+    }
+
+    /// Returns whether the threads are to end.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Tells the threads to end.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the progress of a planned stop.
+    pub fn drain(&self) -> MutexGuard<'_, Drain> {
+        self.drain.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts a planned stop; returns whether this call started it.
+    pub fn start_drain(&self) -> bool {
+        let now = self.clock.now();
+        {
+            let mut drain = self.drain();
+            if drain.since.is_some() {
+                return false;
+            }
+            drain.since = Some(now);
+            drain.phase = Phase::Draining;
+        }
+        self.draining.store(true, Ordering::Relaxed);
+        self.note_ingress();
+        let limit = humantime::format_duration(self.settings.drain.limit);
+        let text = format_args!("hands over and stops within {limit}");
+        self.journal.record(&event::DRAIN_STARTED, text);
+        self.core.leave(now);
+        true
+    }
+
+    /// Notes that the balancer has members and tables.
+    pub fn set_serving(&self) {
+        let mut drain = self.drain();
+        if drain.phase == Phase::Starting {
+            drain.phase = Phase::Serving;
+        }
+    }
+
+    /// Notes that the fabric still delivers datagrams to this balancer; needed only while it is draining.
+    pub fn note_ingress(&self) {
+        if self.draining.load(Ordering::Relaxed) {
+            let now = self.clock.now().as_millis() as u64;
+            self.last_ingress_ms.store(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the time at which the fabric last delivered a datagram during a planned stop.
+    pub fn last_ingress(&self) -> Duration {
+        Duration::from_millis(self.last_ingress_ms.load(Ordering::Relaxed))
+    }
+
+    /// Returns the balancers that this one knows.
+    pub fn roster(&self) -> Arc<Roster> {
+        let members = self.members.read();
+        Arc::clone(&members.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the balancers that this one knows.
+    pub fn set_roster(&self, roster: Roster) {
+        let mut members = self.members.write().unwrap_or_else(PoisonError::into_inner);
+        *members = Arc::new(roster);
+    }
+
+    /// Returns the name of a balancer, or its number if it is unknown.
+    pub fn balancer_name(&self, id: VmId) -> String {
+        let roster = self.roster();
+        let name = roster.get(id).map(|row| row.name.clone());
+        name.unwrap_or_else(|| format!("{id:016x}"))
+    }
+
+    /// Returns the name of an upstream, or its number if it is unknown.
+    pub fn upstream_name(&self, id: UpstreamId) -> String {
+        let tables = self.core.tables();
+        let mut upstreams = tables.pools.values().filter_map(|pool| pool.upstream(id));
+        let name = upstreams.next().map(|upstream| upstream.name.clone());
+        name.unwrap_or_else(|| format!("{id:016x}"))
+    }
+
+    /// Counts and records a datagram that is dropped.
+    pub fn drop_datagram(&self, counter: Counter, event: &Event, text: Arguments<'_>) {
+        self.metrics.count(counter);
+        self.journal.record_limited(self.clock.now(), event, text);
+    }
+
+    /// Sends a datagram; a failure is counted.
+    pub fn send(&self, socket: &UdpSocket, address: SocketAddr, bytes: &[u8]) {
+        if let Err(error) = socket.send_to(bytes, address) {
+            let text = format_args!("sending {} bytes to {address}: {error}", bytes.len());
+            self.drop_datagram(Counter::SendFailed, &event::SEND_FAILED, text);
+        }
+    }
+}
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -1,273 +1,183 @@
-//! A balancer as a process: sockets around the decisions of `skylarkflow-policy`.
+//! A balancer as threads around the decisions of `skylarkflow-policy`.
 
 use {
-    crate::settings::Settings,
-    log::{debug, warn},
-    serde_json::json,
-    skylarkflow_caller::{
-        envelope::{self, Datagram},
-        message::{self, Message},
+    crate::{
+        clock::Clock,
+        context::Context,
+        event, follower, ingress,
+        metrics::Metrics,
+        peers,
+        receiver::{self, Handler},
+        settings::Settings,
+        sockets::{self, Addresses, BindError, Listeners, Sockets},
+        timer, upstreams,
     },
-    skylarkflow_peer::datagram::{self, Frame},
-    skylarkflow_platform::{
-        store::Store,
-        wire::{self, Listing},
-    },
-    skylarkflow_policy::{
-        balancer::{Action, Core, Event, Step},
-        config::Snapshot,
-        exchange::Reply,
-        flow::Key,
-        id::{self, Incarnation},
-        owner::{Member, View},
-        vm::{Record, Role, State},
-    },
-    skylarkflow_upstream::message::{self as upstream_message, Dispatch},
+    derive_more::{Display, Error, From},
+    skylarkflow_policy::{balancer::Core, dispatch::Fifo, id},
     std::{
         io,
-        net::{SocketAddr, UdpSocket},
+        net::UdpSocket,
         sync::Arc,
-        thread,
-        time::{Duration, Instant, SystemTime},
+        thread::{self, JoinHandle},
+        time::Duration,
     },
-    tokio::{runtime, time},
+    tokio::runtime::{self, Runtime},
 };
 
-/// Largest UDP payload, in bytes.
-const DATAGRAM_BYTES: usize = 65_535;
-
-/// Balancers that may pass a datagram on before it is dropped.
-const MAX_HOPS: u8 = 2;
-
-/// Time between two looks at the platform.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
-
-struct Daemon {
-    core: Core,
-    ingress: UdpSocket,
-    peer: UdpSocket,
-    upstream: UdpSocket,
-    start: Instant,
-    start_of_day: Duration,
+/// Threads of the asynchronous runtime: links, administration API and store client.
+const RUNTIME_THREADS: usize = 2;
+
+/// Time that the asynchronous runtime gets to end its tasks.
+const RUNTIME_LIMIT: Duration = Duration::from_millis(500);
+
+/// A balancer that cannot start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[display("{_0}")]
+    Bind(BindError),
+    /// The operating system refused a thread or a socket.
+    #[display("cannot start the balancer: {_0}")]
+    System(io::Error),
 }
 
-/// Runs a balancer.
-///
-/// # Errors
-///
-/// Fails if an address of the settings cannot be bound.
-pub fn run(settings: Settings) -> io::Result<()> {
-    let start_of_day = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    let incarnation = start_of_day.as_secs() as Incarnation;
-    let daemon = Arc::new(Daemon {
-        core: Core::new(id::from_name(&settings.name), incarnation),
-        ingress: UdpSocket::bind(settings.ingress)?,
-        peer: UdpSocket::bind(settings.peer)?,
-        upstream: UdpSocket::bind((settings.ingress.ip(), 0))?,
-        start: Instant::now(),
-        start_of_day,
-    });
-    let ready = json!({
-        "name": settings.name,
-        "zone": settings.zone,
-        "ingress": daemon.ingress.local_addr()?,
-        "peer": daemon.peer.local_addr()?,
-    });
-    println!("{ready}");
-    thread::scope(|scope| {
-        scope.spawn(|| {
-            receive(&daemon.ingress, |source, bytes| {
-                daemon.accept_from_fabric(source, bytes)
-            })
-        });
-        scope.spawn(|| receive(&daemon.peer, |_, bytes| daemon.accept_from_peer(bytes)));
-        scope.spawn(|| {
-            receive(&daemon.upstream, |source, bytes| {
-                daemon.accept_from_upstream(source, bytes)
-            })
-        });
-        daemon.follow_platform(&settings)
-    })
-}
+/// Starts balancers.
+#[derive(Debug)]
+pub struct Daemon;
 
-fn receive(socket: &UdpSocket, mut handle: impl FnMut(SocketAddr, &[u8])) {
-    let mut buffer = vec![0; DATAGRAM_BYTES];
-    loop {
-        match socket.recv_from(&mut buffer) {
-            Ok((length, source)) => handle(source, &buffer[..length]),
-            Err(error) => debug!("receiving failed: {error}"),
-        }
-    }
+/// A running balancer, which stops when the handle is dropped.
+pub struct Handle {
+    context: Arc<Context>,
+    addresses: Addresses,
+    threads: Vec<JoinHandle<()>>,
+    runtime: Option<Runtime>,
 }
 
 impl Daemon {
-    fn now(&self) -> Duration {
-        self.start.elapsed()
-    }
-
-    fn accept_from_fabric(&self, fabric: SocketAddr, bytes: &[u8]) {
-        match envelope::from_slice(bytes) {
-            Ok(datagram) => self.route(0, fabric, datagram.key(), datagram.payload),
-            Err(error) => debug!("dropped a datagram of the fabric: {error}"),
-        }
-    }
-
-    fn accept_from_peer(&self, bytes: &[u8]) {
-        match datagram::from_slice(bytes) {
-            Ok(frame) => self.route(frame.hops, frame.fabric, frame.key, frame.payload),
-            Err(error) => debug!("dropped a datagram of a peer: {error}"),
-        }
+    /// Starts a balancer on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address of the settings cannot be bound or a thread cannot be started.
+    pub fn start(settings: Settings) -> Result<Handle, StartError> {
+        let (sockets, listeners) = sockets::bind(&settings)?;
+        let addresses = addresses(&sockets, &listeners)?;
+        let metrics = Metrics::new(&settings.metrics)?;
+        let clock = Clock::start();
+        let id = id::from_name(&settings.name);
+        let core = Core::new(id, clock.incarnation(), Fifo::factory());
+        let context = Context::new(settings, core, sockets, clock, metrics);
+        let context = Arc::new(context);
+        let runtime = start_tasks(&context, listeners)?;
+        let threads = start_threads(&context)?;
+        record_start(&context, &addresses);
+        Ok(Handle {
+            context,
+            addresses,
+            threads,
+            runtime: Some(runtime),
+        })
     }
+}
 
-    fn accept_from_upstream(&self, source: SocketAddr, bytes: &[u8]) {
-        match upstream_message::from_slice(bytes) {
-            Ok(response) => self.handle(Event::Response { source, response }),
-            Err(error) => debug!("dropped a datagram of an upstream: {error}"),
-        }
+impl Handle {
+    /// Returns the addresses that the balancer has bound.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
     }
 
-    fn route(&self, hops: u8, fabric: SocketAddr, key: Key, payload: &[u8]) {
-        match self.core.route(&key) {
-            Step::Local => self.serve(fabric, key, payload),
-            Step::Forward { address, .. } if hops < MAX_HOPS => {
-                let frame = Frame {
-                    hops: hops + 1,
-                    fabric,
-                    key,
-                    payload,
-                };
-                self.forward(address, &frame);
-            }
-            step => debug!("dropped a datagram of {}: {step:?}", key.caller),
-        }
+    /// Returns what the balancer's threads share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
     }
 
-    fn forward(&self, address: SocketAddr, frame: &Frame<'_>) {
-        let bytes = match datagram::to_vec(frame) {
-            Ok(bytes) => bytes,
-            Err(error) => return debug!("dropped a datagram to a peer: {error}"),
-        };
-        send(&self.peer, address, &bytes);
+    /// Starts a planned stop: the balancer hands its flows over, finishes the requests in flight and ends.
+    pub fn drain(&self) {
+        self.context.start_drain();
     }
 
-    fn serve(&self, fabric: SocketAddr, key: Key, payload: &[u8]) {
-        match message::from_slice(payload) {
-            Ok(Message::Request(request)) => self.handle(Event::Request {
-                fabric,
-                key,
-                request,
-            }),
-            Ok(Message::Acknowledgement { kind, message_id }) => {
-                self.handle(Event::Acknowledgement {
-                    key,
-                    kind,
-                    message_id,
-                });
-            }
-            Err(error) => debug!("dropped a datagram of {}: {error}", key.caller),
-        }
+    /// Stops the balancer at once.
+    pub fn stop(&self) {
+        self.context.stop();
     }
 
-    fn handle(&self, event: Event) {
-        let mut actions = Vec::new();
-        self.core.handle(self.now(), event, &mut actions);
-        for action in actions {
-            self.perform(action);
-        }
+    /// Waits until the balancer has ended.
+    pub fn join(mut self) {
+        self.end();
     }
 
-    fn perform(&self, action: Action) {
-        match action {
-            Action::Reply { fabric, key, reply } => self.reply(fabric, key, &reply),
-            Action::Dispatch {
-                address,
-                service,
-                token,
-                message_id,
-                deadline,
-                bytes,
-                ..
-            } => {
-                let dispatch = Dispatch {
-                    service: &service,
-                    token,
-                    message_id,
-                    deadline: self.start_of_day + deadline,
-                };
-                match upstream_message::to_vec(&dispatch, &bytes) {
-                    Ok(bytes) => send(&self.upstream, address, &bytes),
-                    Err(error) => debug!("dropped a request: {error}"),
-                }
-            }
+    fn end(&mut self) {
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
         }
-    }
-
-    fn reply(&self, fabric: SocketAddr, key: Key, reply: &Reply) {
-        let payload = match message::to_vec(reply) {
-            Ok(payload) => payload,
-            Err(error) => return debug!("dropped an answer to {}: {error}", key.caller),
-        };
-        let datagram = Datagram {
-            source: key.service,
-            destination: key.caller,
-            payload: &payload,
-        };
-        match envelope::to_vec(&datagram) {
-            Ok(bytes) => send(&self.ingress, fabric, &bytes),
-            Err(error) => debug!("dropped an answer to {}: {error}", key.caller),
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_timeout(RUNTIME_LIMIT);
         }
     }
+}
 
-    fn follow_platform(&self, settings: &Settings) -> io::Result<()> {
-        let runtime = runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
-        runtime.block_on(async {
-            let store = Store::new(&settings.platform);
-            loop {
-                match store.vms().await {
-                    Ok(vms) => self.core.set_view(view(&vms)),
-                    Err(error) => warn!("cannot read the VM list: {error}"),
-                }
-                match store.list("").await {
-                    Ok(listing) => self.core.set_tables(Arc::new(snapshot(listing))),
-                    Err(error) => warn!("cannot read the tables: {error}"),
-                }
-                time::sleep(REFRESH_INTERVAL).await;
-            }
-        })
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.context.stop();
+        self.end();
     }
 }
 
-fn send(socket: &UdpSocket, address: SocketAddr, bytes: &[u8]) {
-    if let Err(error) = socket.send_to(bytes, address) {
-        debug!("sending to {address} failed: {error}");
-    }
+fn addresses(sockets: &Sockets, listeners: &Listeners) -> io::Result<Addresses> {
+    Ok(Addresses {
+        ingress: sockets.ingress.local_addr()?,
+        peer: sockets.peer.local_addr()?,
+        admin: listeners.admin.local_addr()?,
+    })
 }
 
-fn view(vms: &[Record]) -> View {
-    let entries = vms.iter().filter(|vm| vm.role == Role::Entry);
-    let zones = entries.clone().map(|vm| &*vm.zone);
-    let live = entries.clone().filter(|vm| vm.state == State::Live);
-    let members: Vec<Member> = live
-        .map(|vm| Member {
-            id: vm.id(),
-            zone: vm.zone.clone(),
-            address: vm.address,
-        })
-        .collect();
-    View::new(zones, &members)
+fn start_tasks(context: &Arc<Context>, _listeners: Listeners) -> io::Result<Runtime> {
+    let mut builder = runtime::Builder::new_multi_thread();
+    let builder = builder.worker_threads(RUNTIME_THREADS).enable_all();
+    let runtime = builder.thread_name("tasks").build()?;
+    runtime.spawn(follower::run(Arc::clone(context)));
+    Ok(runtime)
 }
 
-fn snapshot(listing: Listing) -> Snapshot {
-    let mut routes = Vec::new();
-    let mut pools = Vec::new();
-    for object in listing.objects {
-        if object.key.starts_with(wire::ROUTE_PREFIX) {
-            routes.extend(serde_json::from_value::<wire::Route>(object.value).map(Into::into));
-        } else if object.key.starts_with(wire::POOL_PREFIX) {
-            pools.extend(serde_json::from_value::<wire::Pool>(object.value).map(Into::into));
-        }
+fn start_threads(context: &Arc<Context>) -> io::Result<Vec<JoinHandle<()>>> {
+    type Source = (&'static str, usize, fn(&Context) -> &UdpSocket, Handler);
+    let workers = context.settings.workers;
+    let sources: [Source; 3] = [
+        (
+            "ingress",
+            workers.ingress,
+            |context| &context.sockets.ingress,
+            ingress::accept,
+        ),
+        (
+            "peer",
+            workers.peer,
+            |context| &context.sockets.peer,
+            peers::accept,
+        ),
+        (
+            "upstream",
+            workers.upstream,
+            |context| &context.sockets.upstream,
+            upstreams::accept,
+        ),
+    ];
+    let mut threads = Vec::new();
+    for (name, count, socket, handler) in sources {
+        threads.extend(receiver::start(context, name, count, socket, handler)?);
     }
-    Snapshot::new(routes, pools)
+    let context = Arc::clone(context);
+    let timer = thread::Builder::new().name("timer".to_owned());
+    threads.push(timer.spawn(move || timer::run(&context))?);
+    Ok(threads)
+}
+
+fn record_start(context: &Context, addresses: &Addresses) {
+    let Addresses {
+        ingress,
+        peer,
+        admin,
+    } = addresses;
+    let text = format_args!("ingress {ingress}, peer {peer}, administration {admin}");
+    context.journal.record(&event::STARTED, text);
 }
--- /dev/null
+++ b/crates/skylarkflow/src/event.rs
@@ -0,0 +1,88 @@
+//! The numbered events of the logs; [the catalogue](../../../docs/events.md) explains each of them.
+
+use log::Level;
+
+/// A kind of log line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// Number, never used for another event.
+    pub number: u16,
+    /// Severity.
+    pub level: Level,
+    /// Target of the log crate, whose level the settings can change.
+    pub target: &'static str,
+    /// What has happened.
+    pub meaning: &'static str,
+}
+
+macro_rules! events {
+    ($($number:literal $name:ident $level:ident $target:literal $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: Event = Event {
+                number: $number,
+                level: Level::$level,
+                target: $target,
+                meaning: $meaning,
+            };
+        )*
+
+        /// Every event, ordered by number.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    1001 STARTED Info "process" "The balancer has bound its sockets.";
+    1002 DRAIN_STARTED Info "drain" "A planned stop has started.";
+    1003 DRAINED Info "drain" "Every flow is handed over and no request is in flight.";
+    1004 DRAIN_LIMIT Warn "drain" "The limit of a planned stop has passed with work left.";
+    1005 STOPPED Info "process" "The balancer has stopped.";
+    1006 LINES_LOST Warn "process" "Log lines were dropped because the queue of lines was full.";
+    2001 FLOW_OPENED Info "flow" "A flow got the default upstream of its pool's table.";
+    2002 FLOW_EXCEPTION Info "flow" "A flow got another upstream than the default.";
+    2003 FLOW_REPLACED Info "flow" "An established flow got another upstream, because its own is down or removed.";
+    2004 FLOW_CLOSED Debug "flow" "A flow was idle for too long, or made room for another one.";
+    2005 FLOW_CLAIMED Info "flow" "A flow was claimed from its previous owner.";
+    2006 FLOW_GRANTED Info "flow" "A flow was handed over to another balancer.";
+    2007 FLOW_QUARANTINED Info "flow" "Non-idempotent requests of a flow end as unknown until a time.";
+    2008 HANDOVER_COMPLETED Info "flow" "A balancer has handed over every flow that this one now owns.";
+    3001 REQUEST_REFUSED Info "request" "A request was answered with 5.03: it did not run.";
+    3002 REQUEST_RETRIED Info "request" "A request is dispatched again.";
+    3003 REQUEST_UNKNOWN Info "request" "A request was answered with 5.04: its outcome is unknown.";
+    3004 RESPONSE_UNMATCHED Info "request" "A message of an upstream matched no dispatch and was dropped.";
+    4001 BAD_FABRIC_DATAGRAM Warn "datagram" "A datagram of the fabric was malformed and dropped.";
+    4002 BAD_CALLER_MESSAGE Warn "datagram" "A caller's message was malformed and dropped.";
+    4003 BAD_PEER_DATAGRAM Warn "datagram" "A datagram of a balancer was malformed and dropped.";
+    4004 BAD_UPSTREAM_MESSAGE Warn "datagram" "A message of an upstream was malformed and dropped.";
+    4005 UNKNOWN_SERVICE Warn "datagram" "A datagram was dropped: no route has its address.";
+    4006 NO_OWNER Warn "datagram" "A datagram was dropped: no balancer serves its flow.";
+    4007 HOP_LIMIT Warn "datagram" "A datagram was dropped: too many balancers have passed it on.";
+    4008 TABLE_FULL Warn "datagram" "A datagram was dropped: a bounded table or queue is full.";
+    4009 NOT_OWNER Info "datagram" "A datagram was dropped: its flow belongs to another balancer.";
+    4010 SEND_FAILED Warn "datagram" "A datagram could not be sent.";
+    4011 OVERSIZED Warn "datagram" "A datagram was longer than the limit and dropped.";
+    5001 CONFIGURATION_ADOPTED Info "config" "A route or a pool came into force.";
+    5002 CONFIGURATION_OLDER Warn "config" "An older generation was offered and not adopted.";
+    5003 PLATFORM_FAILED Warn "config" "A call to the platform failed; the last configuration stays in force.";
+    5004 PLATFORM_ANSWERS Info "config" "The platform answers again.";
+    5005 OBJECT_MALFORMED Warn "config" "An object of the store could not be read and is ignored.";
+    5006 UPSTREAM_DRAINING Info "config" "An upstream is draining and gets no new flows.";
+    5007 CONFIGURATION_REMOVED Info "config" "A route or a pool is no longer in force.";
+    6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
+    6002 FENCE_LOST Warn "member" "Non-idempotent requests wait for a majority of the zone.";
+    6003 FENCE_HELD Info "member" "This balancer hears from a majority of its zone.";
+    6004 LINK_OPENED Info "link" "A link to or from a balancer was opened.";
+    6005 LINK_LOST Warn "link" "A link to a balancer was lost or could not be opened.";
+    6006 CONTROL_DROPPED Warn "link" "A control message was dropped: a queue is full or the balancer is unknown.";
+    6007 ADDRESS_HELD Info "config" "An address that served another service before is held back from work.";
+    7001 ADMIN_REFUSED Warn "admin" "A call of the administration API carried no valid token.";
+    7002 ADMIN_DRAIN Info "admin" "An operator has started a planned stop over the administration API.";
+}
+
+impl Event {
+    /// Returns the number as it stands in the logs, such as `E1001`.
+    pub fn code(&self) -> String {
+        format!("E{:04}", self.number)
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/lib.rs
@@ -0,0 +1,25 @@
+//! Layer-4 load balancer for small service operators.
+//!
+//! [`daemon::Daemon`] starts a balancer on threads of its own; [`command`] is the command line around it. The decisions
+//! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
+
+pub mod clock;
+pub mod command;
+pub mod context;
+pub mod daemon;
+pub mod emulate;
+pub mod event;
+mod follower;
+mod ingress;
+pub mod journal;
+pub mod logs;
+pub mod metrics;
+mod notes;
+mod peers;
+pub mod perform;
+mod receiver;
+mod run;
+pub mod settings;
+pub mod sockets;
+mod timer;
+mod upstreams;
--- /dev/null
+++ b/crates/skylarkflow/src/logs.rs
@@ -0,0 +1,123 @@
+//! Log lines as text or JSON, written by a thread of their own.
+//!
+//! The threads that handle datagrams hand lines over through a bounded queue, so that a slow disk or terminal cannot
+//! stop them. Lines that find the queue full are dropped and counted.
+
+use {
+    crate::settings::{Format, Log},
+    crossbeam::channel::{self, Receiver, Sender, TrySendError},
+    fern::{Dispatch, FormatCallback, Output},
+    log::{Record, SetLoggerError, kv::Key},
+    serde_json::json,
+    std::{
+        fmt::Arguments,
+        fs::OpenOptions,
+        io::{self, Write},
+        sync::atomic::{AtomicU64, Ordering},
+        thread::{self, JoinHandle},
+        time::SystemTime,
+    },
+};
+
+/// Lines that were dropped because the queue was full.
+static LOST: AtomicU64 = AtomicU64::new(0);
+
+/// The writing thread; its lines are written when it is closed.
+pub struct Writer {
+    close: Sender<Vec<u8>>,
+    thread: JoinHandle<()>,
+}
+
+/// Starts the logs of the process.
+///
+/// # Errors
+///
+/// Fails if the file of the settings cannot be opened or the logs have been started before.
+pub fn start(settings: &Log) -> io::Result<Writer> {
+    let output: Box<dyn Write + Send> = match &settings.file {
+        Some(path) => Box::new(OpenOptions::new().append(true).create(true).open(path)?),
+        None => Box::new(io::stderr()),
+    };
+    let (sender, receiver) = channel::bounded(settings.queue.0);
+    dispatch(settings, sender.clone()).map_err(io::Error::other)?;
+    let thread = thread::Builder::new().name("log".to_owned());
+    let thread = thread.spawn(move || write_lines(&receiver, output))?;
+    Ok(Writer {
+        close: sender,
+        thread,
+    })
+}
+
+/// Returns the number of lines that were dropped because the queue was full.
+pub fn lost() -> u64 {
+    LOST.load(Ordering::Relaxed)
+}
+
+impl Writer {
+    /// Writes the lines that wait and ends the thread.
+    pub fn close(self) {
+        let _ = self.close.send(Vec::new());
+        let _ = self.thread.join();
+    }
+}
+
+fn enqueue(lines: &Sender<Vec<u8>>, record: &Record<'_>) {
+    let line = format!("{}\n", record.args()).into_bytes();
+    if let Err(TrySendError::Full(_)) = lines.try_send(line) {
+        LOST.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn dispatch(settings: &Log, lines: Sender<Vec<u8>>) -> Result<(), SetLoggerError> {
+    let output = Output::call(move |record| enqueue(&lines, record));
+    let mut dispatch = Dispatch::new().level(settings.level.filter());
+    for (target, level) in &settings.targets {
+        dispatch = dispatch.level_for(target.clone(), level.filter());
+    }
+    let dispatch = match settings.format {
+        Format::Text => dispatch.format(text),
+        Format::Json => dispatch.format(json),
+    };
+    dispatch.chain(output).apply()
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, mut output: Box<dyn Write + Send>) {
+    for line in lines {
+        if line.is_empty() {
+            break;
+        }
+        let _ = output.write_all(&line);
+        if lines.is_empty() {
+            let _ = output.flush();
+        }
+    }
+    let _ = output.flush();
+}
+
+fn text(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let time = humantime::format_rfc3339_millis(SystemTime::now());
+    let level = record.level();
+    let target = record.target();
+    let event = value(record, "event").unwrap_or_default();
+    let balancer = value(record, "balancer").unwrap_or_default();
+    out.finish(format_args!(
+        "{time} {level:5} {target} {event} {balancer}: {message}"
+    ));
+}
+
+fn json(out: FormatCallback<'_>, message: &Arguments<'_>, record: &Record<'_>) {
+    let line = json!({
+        "time": humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
+        "level": record.level().as_str(),
+        "target": record.target(),
+        "event": value(record, "event"),
+        "balancer": value(record, "balancer"),
+        "message": message.to_string(),
+    });
+    out.finish(format_args!("{line}"));
+}
+
+fn value(record: &Record<'_>, key: &str) -> Option<String> {
+    let value = record.key_values().get(Key::from_str(key))?;
+    Some(value.to_string())
+}
--- a/crates/skylarkflow/src/main.rs
+++ b/crates/skylarkflow/src/main.rs
@@ -1,19 +1,14 @@
 //! Layer-4 load balancer for small service operators.
 
-mod command;
-mod daemon;
-mod emulate;
-mod settings;
-
-use std::process::ExitCode;
+use {skylarkflow::command::Arguments, std::process::ExitCode};
 
 fn main() -> ExitCode {
-    let arguments: command::Arguments = argh::from_env();
+    let arguments: Arguments = argh::from_env();
     match arguments.run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("skylarkflow: {error}");
-            ExitCode::FAILURE
+        Err(failure) => {
+            eprintln!("skylarkflow: {failure}");
+            ExitCode::from(failure.code())
         }
     }
 }
--- /dev/null
+++ b/crates/skylarkflow/src/metrics.rs
@@ -0,0 +1,180 @@
+//! Counters of a balancer, reported over statsd and as a snapshot.
+//!
+//! The threads that handle datagrams only add to atomic numbers; one thread reports the differences.
+
+use {
+    crate::settings,
+    cadence::{Counted, Gauged, NopMetricSink, StatsdClient, UdpMetricSink},
+    std::{
+        collections::BTreeMap,
+        io,
+        net::{Ipv4Addr, UdpSocket},
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+};
+
+/// A number that a balancer reports; see [the catalogue](../../../docs/metrics.md).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Metric {
+    /// Name after the prefix.
+    pub name: &'static str,
+    /// Unit of the number.
+    pub unit: &'static str,
+    /// What is counted.
+    pub meaning: &'static str,
+}
+
+macro_rules! metrics {
+    ($type:ident, $list:ident: $($name:ident $text:literal $unit:literal $meaning:literal;)*) => {
+        /// Selects a metric.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum $type {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        /// Every metric of this kind.
+        pub const $list: &[Metric] = &[
+            $(Metric { name: $text, unit: $unit, meaning: $meaning },)*
+        ];
+    };
+}
+
+metrics! { Counter, COUNTERS:
+    IngressDatagrams "ingress.datagrams" "datagrams" "Datagrams that the fabric delivered.";
+    PeerDatagrams "peer.datagrams" "datagrams" "Callers' datagrams that other balancers passed on.";
+    UpstreamDatagrams "upstream.datagrams" "datagrams" "Datagrams of upstreams.";
+    Forwarded "peer.forwarded" "datagrams" "Callers' datagrams passed on to their owner.";
+    ControlReceived "peer.control_received" "messages" "Control messages of other balancers.";
+    ControlSent "peer.control_sent" "messages" "Control messages to other balancers.";
+    ControlBytesSent "peer.control_bytes_sent" "bytes" "Payload of control messages to other balancers, datagrams and links.";
+    ControlDropped "peer.control_dropped" "messages" "Control messages dropped: a queue was full or the balancer unknown.";
+    Requests "requests.received" "requests" "Requests of flows that this balancer owns, retransmissions included.";
+    Dispatches "requests.dispatched" "requests" "Requests sent to upstreams, retries included.";
+    Replies "requests.replies" "messages" "Messages sent to callers.";
+    Cancels "requests.cancelled" "requests" "Dispatches cancelled at the upstream.";
+    Refused "requests.refused" "requests" "Requests answered with 5.03: did not run.";
+    Retried "requests.retried" "requests" "Requests dispatched again.";
+    Unknown "requests.unknown" "requests" "Requests answered with 5.04: outcome unknown.";
+    Unmatched "requests.unmatched_responses" "messages" "Messages of upstreams that matched no dispatch.";
+    FlowsOpened "flows.opened" "flows" "Flows that got their first upstream here.";
+    FlowsException "flows.exceptions" "flows" "Flows that got another upstream than the default.";
+    FlowsReplaced "flows.replaced" "flows" "Established flows that got another upstream.";
+    FlowsClosed "flows.closed" "flows" "Flows that were idle for too long or made room.";
+    FlowsClaimed "flows.claimed" "flows" "Flows claimed from their previous owner.";
+    FlowsGranted "flows.granted" "flows" "Flows handed over to another balancer.";
+    FlowsQuarantined "flows.quarantined" "flows" "Flows put into quarantine.";
+    BadFabric "drops.bad_fabric" "datagrams" "Malformed datagrams of the fabric.";
+    BadCaller "drops.bad_caller" "datagrams" "Malformed messages of callers.";
+    BadPeer "drops.bad_peer" "datagrams" "Malformed datagrams of balancers.";
+    BadUpstream "drops.bad_upstream" "datagrams" "Malformed messages of upstreams.";
+    Oversized "drops.oversized" "datagrams" "Datagrams longer than the limit.";
+    UnknownService "drops.unknown_service" "datagrams" "Datagrams to an address that no route has.";
+    NoOwner "drops.no_owner" "datagrams" "Datagrams of flows that no balancer serves.";
+    HopLimit "drops.hop_limit" "datagrams" "Datagrams that too many balancers have passed on.";
+    TableFull "drops.full" "datagrams" "Datagrams dropped because a bounded table or queue was full.";
+    NotOwner "drops.not_owner" "datagrams" "Datagrams of flows that belong to another balancer.";
+    SendFailed "drops.send_failed" "datagrams" "Datagrams that the operating system did not send.";
+    ConfigAdopted "config.adopted" "objects" "Routes and pools that came into force.";
+    PlatformCalls "platform.calls" "calls" "Calls to the platform; a waiting watch counts as one.";
+    PlatformFailed "platform.failed" "calls" "Calls to the platform that failed.";
+    LinesLost "log.lines_lost" "lines" "Log lines dropped because the queue of lines was full.";
+}
+
+metrics! { Gauge, GAUGES:
+    Ready "ready" "boolean" "1 while the balancer takes new flows, else 0.";
+    Members "members" "balancers" "Balancers in the view in force, this one included.";
+    Routes "config.routes" "routes" "Routes in force.";
+    Pools "config.pools" "pools" "Pools in force.";
+    Flows "flows.open" "flows" "Flow entries of this balancer.";
+    InFlight "requests.in_flight" "requests" "Requests dispatched and not yet answered.";
+}
+
+/// The numbers of one balancer.
+pub struct Metrics {
+    client: StatsdClient,
+    counters: Vec<AtomicU64>,
+    gauges: Vec<AtomicU64>,
+    reported: Mutex<Vec<u64>>,
+}
+
+impl Metrics {
+    /// Creates metrics that are reported to the statsd server of the settings, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened.
+    pub fn new(settings: &settings::Metrics) -> io::Result<Metrics> {
+        Ok(Metrics {
+            client: client(settings)?,
+            counters: COUNTERS.iter().map(|_| AtomicU64::default()).collect(),
+            gauges: GAUGES.iter().map(|_| AtomicU64::default()).collect(),
+            reported: Mutex::new(vec![0; COUNTERS.len()]),
+        })
+    }
+
+    /// Adds one.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds `amount`.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.counters[counter as usize].fetch_add(amount, Ordering::Relaxed);
+    }
+
+    /// Returns a counter.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.counters[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, gauge: Gauge, value: u64) {
+        self.gauges[gauge as usize].store(value, Ordering::Relaxed);
+    }
+
+    /// Returns a gauge.
+    pub fn gauge(&self, gauge: Gauge) -> u64 {
+        self.gauges[gauge as usize].load(Ordering::Relaxed)
+    }
+
+    /// Returns every number by name.
+    pub fn snapshot(&self) -> BTreeMap<String, u64> {
+        let counters = COUNTERS.iter().zip(&self.counters);
+        let gauges = GAUGES.iter().zip(&self.gauges);
+        counters
+            .chain(gauges)
+            .map(|(metric, value)| (metric.name.to_owned(), value.load(Ordering::Relaxed)))
+            .collect()
+    }
+
+    /// Sends what has changed since the last report; a lost datagram loses its differences.
+    pub fn report(&self) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let counters = COUNTERS.iter().zip(&self.counters);
+        for ((metric, counter), before) in counters.zip(reported.iter_mut()) {
+            let value = counter.load(Ordering::Relaxed);
+            if value != *before {
+                let _ = self.client.count(metric.name, value - *before);
+                *before = value;
+            }
+        }
+        for (metric, gauge) in GAUGES.iter().zip(&self.gauges) {
+            let _ = self
+                .client
+                .gauge(metric.name, gauge.load(Ordering::Relaxed));
+        }
+    }
+}
+
+fn client(settings: &settings::Metrics) -> io::Result<StatsdClient> {
+    let Some(address) = settings.statsd else {
+        return Ok(StatsdClient::from_sink(&settings.prefix, NopMetricSink));
+    };
+    let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    socket.set_nonblocking(true)?;
+    let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+    Ok(StatsdClient::from_sink(&settings.prefix, sink))
+}
--- /dev/null
+++ b/crates/skylarkflow/src/notes.rs
@@ -0,0 +1,173 @@
+//! Log lines and counters of the decisions.
+
+use {
+    crate::{context::Context, event, metrics::Counter},
+    skylarkflow_policy::{
+        event::{Doubt, Drop, Note, Refusal},
+        flow::Key,
+        id::UpstreamId,
+    },
+};
+
+/// Records a decision.
+pub fn record(context: &Context, note: &Note) {
+    match *note {
+        Note::Opened {
+            key,
+            upstream,
+            exception,
+        } => opened(context, key, upstream, exception),
+        Note::Replaced { key, from, to } => replaced(context, key, from, to),
+        Note::Closed { key } => {
+            context.metrics.count(Counter::FlowsClosed);
+            let text = format_args!("{}", Flow(key));
+            context.journal.record(&event::FLOW_CLOSED, text);
+        }
+        Note::Claimed { .. }
+        | Note::Granted { .. }
+        | Note::Quarantined { .. }
+        | Note::Completed { .. } => handover(context, note),
+        Note::Refused { .. } | Note::Retried { .. } | Note::Unknown { .. } => {
+            request(context, note);
+        }
+        Note::Draining { upstream } => {
+            let name = context.upstream_name(upstream);
+            let text = format_args!("{name} says that it is draining");
+            context.journal.record(&event::UPSTREAM_DRAINING, text);
+        }
+        Note::UnmatchedResponse { source } => {
+            let text = format_args!("from {source}");
+            context.drop_datagram(Counter::Unmatched, &event::RESPONSE_UNMATCHED, text);
+        }
+        Note::Dropped { key, reason } => dropped(context, key, reason),
+    }
+}
+
+#[derive(Clone, Copy, derive_more::Display)]
+#[display("{} to {}", _0.caller, _0.service)]
+struct Flow(Key);
+
+fn opened(context: &Context, key: Key, upstream: UpstreamId, exception: bool) {
+    context.metrics.count(Counter::FlowsOpened);
+    let event = if exception {
+        context.metrics.count(Counter::FlowsException);
+        &event::FLOW_EXCEPTION
+    } else {
+        &event::FLOW_OPENED
+    };
+    if context.journal.is_enabled(event) {
+        let name = context.upstream_name(upstream);
+        let reason = if exception {
+            "its default cannot take it"
+        } else {
+            "its default"
+        };
+        let text = format_args!("{}: {name}, {reason}", Flow(key));
+        context.journal.record(event, text);
+    }
+}
+
+fn replaced(context: &Context, key: Key, from: UpstreamId, to: UpstreamId) {
+    context.metrics.count(Counter::FlowsReplaced);
+    if context.journal.is_enabled(&event::FLOW_REPLACED) {
+        let from = context.upstream_name(from);
+        let to = context.upstream_name(to);
+        let text = format_args!("{}: {to}, since {from} is down or removed", Flow(key));
+        context.journal.record(&event::FLOW_REPLACED, text);
+    }
+}
+
+fn handover(context: &Context, note: &Note) {
+    let (counter, event) = match note {
+        Note::Claimed { .. } => (Some(Counter::FlowsClaimed), &event::FLOW_CLAIMED),
+        Note::Granted { .. } => (Some(Counter::FlowsGranted), &event::FLOW_GRANTED),
+        Note::Quarantined { .. } => (Some(Counter::FlowsQuarantined), &event::FLOW_QUARANTINED),
+        _ => (None, &event::HANDOVER_COMPLETED),
+    };
+    if let Some(counter) = counter {
+        context.metrics.count(counter);
+    }
+    if !context.journal.is_enabled(event) {
+        return;
+    }
+    let text = match *note {
+        Note::Claimed { key, from } => {
+            let from = context.balancer_name(from);
+            format!("{} from {from}, which owned it before", Flow(key))
+        }
+        Note::Granted { key, to } => {
+            let to = context.balancer_name(to);
+            format!("{} to {to}, which owns it now", Flow(key))
+        }
+        Note::Quarantined { key, until } => {
+            let left = until.saturating_sub(context.clock.now());
+            let seconds = left.as_secs_f32();
+            format!(
+                "{} for {seconds:.1} s, since no previous owner handed it over",
+                Flow(key)
+            )
+        }
+        Note::Completed { from } => format!("by {}", context.balancer_name(from)),
+        _ => String::new(),
+    };
+    context.journal.record(event, format_args!("{text}"));
+}
+
+fn request(context: &Context, note: &Note) {
+    match *note {
+        Note::Refused {
+            key,
+            message_id,
+            reason,
+        } => {
+            context.metrics.count(Counter::Refused);
+            let reason = refusal(reason);
+            let text = format_args!("{} of {}: {reason}", message_id, Flow(key));
+            context.journal.record(&event::REQUEST_REFUSED, text);
+        }
+        Note::Retried { key, message_id } => {
+            context.metrics.count(Counter::Retried);
+            let text = format_args!("{} of {}: it certainly did not run", message_id, Flow(key));
+            context.journal.record(&event::REQUEST_RETRIED, text);
+        }
+        Note::Unknown {
+            key,
+            message_id,
+            reason,
+        } => {
+            context.metrics.count(Counter::Unknown);
+            let reason = doubt(reason);
+            let text = format_args!("{} of {}: {reason}", message_id, Flow(key));
+            context.journal.record(&event::REQUEST_UNKNOWN, text);
+        }
+        _ => {}
+    }
+}
+
+fn dropped(context: &Context, key: Key, reason: Drop) {
+    let (counter, event) = match reason {
+        Drop::UnknownService => (Counter::UnknownService, &event::UNKNOWN_SERVICE),
+        Drop::NotOwner => (Counter::NotOwner, &event::NOT_OWNER),
+        Drop::Full => (Counter::TableFull, &event::TABLE_FULL),
+    };
+    context.drop_datagram(counter, event, format_args!("of {}", Flow(key)));
+}
+
+fn refusal(reason: Refusal) -> &'static str {
+    match reason {
+        Refusal::NoUpstream => "no upstream can take the flow",
+        Refusal::Admission => "the queue is full or the wait would exceed the deadline",
+        Refusal::Upstream => "the upstream refused it",
+        Refusal::Deadline => "its deadline passed before a dispatch",
+    }
+}
+
+fn doubt(reason: Doubt) -> &'static str {
+    match reason {
+        Doubt::Deadline => "its deadline passed after a dispatch",
+        Doubt::Quarantine => "the flow is in quarantine",
+        Doubt::Fence => "this balancer does not hear from a majority of its zone",
+        Doubt::ActingOwner => "the home zone of the flow may be alive",
+        Doubt::Evicted => "it ran, but its answer is no longer cached",
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/run.rs
@@ -0,0 +1,82 @@
+//! The `run` command: one balancer as a process, with its logs and signals.
+
+use {
+    crate::{
+        command::{Failure, Result},
+        daemon::{Daemon, Handle},
+        logs, settings,
+    },
+    argh::FromArgs,
+    serde_json::json,
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{
+        io::{self, Write},
+        path::PathBuf,
+        process,
+        sync::Arc,
+        thread,
+    },
+};
+
+/// Exit code after a second signal, which may have cut requests in flight.
+const EXIT_CUT: i32 = 1;
+
+/// Run a balancer until it is told to stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// path of the YAML settings
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Run {
+    /// Runs the balancer and returns after its planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings are not usable or an address cannot be bound.
+    pub fn run(self) -> Result {
+        let settings = settings::from_path(&self.settings).map_err(Failure::usage)?;
+        let writer = logs::start(&settings.log).map_err(Failure::usage)?;
+        let identity = (settings.name.clone(), settings.zone.clone());
+        // Signals that arrive before the balancer has started wait in the iterator.
+        let signals = Signals::new([SIGINT, SIGTERM])?;
+        let handle = Daemon::start(settings).map_err(Failure::usage)?;
+        follow_signals(&handle, signals)?;
+        print_ready(&identity, &handle)?;
+        handle.join();
+        writer.close();
+        Ok(())
+    }
+}
+
+fn follow_signals(handle: &Handle, mut signals: Signals) -> io::Result<()> {
+    let context = Arc::clone(handle.context());
+    let thread = thread::Builder::new().name("signals".to_owned());
+    thread.spawn(move || {
+        for _ in signals.forever() {
+            if !context.start_drain() {
+                process::exit(EXIT_CUT);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn print_ready((name, zone): &(String, String), handle: &Handle) -> io::Result<()> {
+    let addresses = handle.addresses();
+    let ready = json!({
+        "name": name,
+        "zone": zone,
+        "ingress": addresses.ingress,
+        "peer": addresses.peer,
+        "admin": addresses.admin,
+    });
+    let mut output = io::stdout();
+    writeln!(output, "{ready}")?;
+    output.flush()
+}
--- /dev/null
+++ b/crates/skylarkflow/src/upstreams.rs
@@ -0,0 +1,25 @@
+//! Datagrams of upstreams.
+
+use {
+    crate::{
+        context::Context,
+        event,
+        metrics::Counter,
+        perform::{self, Scratch},
+    },
+    skylarkflow_policy::balancer::Event,
+    skylarkflow_upstream::message,
+    std::net::SocketAddr,
+};
+
+/// Handles a datagram of an upstream.
+pub fn accept(context: &Context, scratch: &mut Scratch, source: SocketAddr, bytes: &[u8]) {
+    context.metrics.count(Counter::UpstreamDatagrams);
+    match message::from_slice(bytes) {
+        Ok(response) => perform::handle(context, scratch, Event::Response { source, response }),
+        Err(error) => {
+            let text = format_args!("from {source}: {error}");
+            context.drop_datagram(Counter::BadUpstream, &event::BAD_UPSTREAM_MESSAGE, text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/tests/settings.rs
@@ -0,0 +1,141 @@
+//! Settings: defaults, findings and exit codes.
+
+mod support;
+
+use {
+    skylarkflow::settings::{self, Admin, Drain, Limits, Settings, Workers},
+    std::{fs, net::UdpSocket, process::Command, time::Duration},
+    tempfile::TempDir,
+};
+
+fn fields(settings: &Settings) -> Vec<&'static str> {
+    let findings = settings::check(settings);
+    findings.iter().map(|finding| finding.field).collect()
+}
+
+/// Runs a balancer with these settings; returns its exit code and what it wrote to standard error.
+fn run(text: &str) -> (Option<i32>, String) {
+    let directory = TempDir::new().expect("a temporary directory");
+    let path = directory.path().join("settings.yaml");
+    fs::write(&path, text).expect("the settings are written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_skylarkflow"));
+    let output = command.arg("run").arg("--settings").arg(&path).output();
+    let output = output.expect("the binary starts");
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), errors)
+}
+
+/// Guards against defaults that the check itself refuses.
+#[test]
+fn the_defaults_have_no_findings() {
+    assert_eq!(fields(&Settings::default()), Vec::<&str>::new());
+}
+
+/// Guards against an operator who corrects one finding at a time because the check stops at the first.
+#[test]
+fn all_findings_are_reported_together() {
+    let settings = Settings {
+        name: String::new(),
+        zones: vec!["salem".to_owned()],
+        platform: "https://platform".to_owned(),
+        workers: Workers {
+            ingress: 0,
+            ..Workers::default()
+        },
+        limits: Limits {
+            links: 0,
+            datagram_bytes: 70_000,
+            ..Limits::default()
+        },
+        drain: Drain {
+            quiet: Duration::from_secs(60),
+            ..Drain::default()
+        },
+        admin: Admin {
+            address: ([10, 0, 0, 1], 80).into(),
+            ..Admin::default()
+        },
+        ..Settings::default()
+    };
+    let expected = [
+        "name",
+        "zones",
+        "platform",
+        "workers.ingress",
+        "limits.datagram_bytes",
+        "limits.links",
+        "admin.token",
+        "drain.quiet",
+    ];
+    assert_eq!(fields(&settings), expected);
+}
+
+/// Guards against an administration API on the network without a token.
+#[test]
+fn a_public_administration_address_needs_a_token() {
+    let (code, errors) = run("admin:\n  address: 0.0.0.0:0\n");
+    assert_eq!(code, Some(2));
+    assert!(errors.contains("admin.token"), "{errors}");
+}
+
+/// Guards against a misspelt setting that is silently ignored.
+#[test]
+fn an_unknown_setting_is_refused_with_its_line() {
+    let (code, errors) = run("name: entry-1\nlimits:\n  datagram_byte: 1000\n");
+    assert_eq!(code, Some(2));
+    assert!(errors.contains("datagram_byte"), "{errors}");
+    assert!(errors.contains("line 3"), "{errors}");
+}
+
+/// Guards against a balancer that starts without its ingress address, or fails without naming it.
+#[test]
+fn a_taken_address_is_named() {
+    let taken = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let address = taken.local_addr().expect("an address");
+    let (code, errors) = run(&format!("ingress: {address}\n"));
+    assert_eq!(code, Some(2));
+    assert!(
+        errors.contains(&format!("cannot bind ingress {address}")),
+        "{errors}"
+    );
+}
+
+/// Guards against a setting without documentation.
+#[test]
+fn every_setting_is_documented() {
+    let page = support::page("settings.md");
+    let names = [
+        "name",
+        "zone",
+        "zones",
+        "ingress",
+        "peer",
+        "platform",
+        "workers.ingress",
+        "workers.peer",
+        "workers.upstream",
+        "limits.datagram_bytes",
+        "limits.control_bytes",
+        "limits.link_bytes",
+        "limits.link_queue",
+        "limits.links",
+        "limits.control_queue",
+        "limits.socket_bytes",
+        "drain.limit",
+        "drain.quiet",
+        "admin.address",
+        "admin.token",
+        "admin.connections",
+        "log.format",
+        "log.file",
+        "log.level",
+        "log.targets",
+        "log.queue",
+        "metrics.statsd",
+        "metrics.prefix",
+        "metrics.interval",
+    ];
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/tests/signals.rs
@@ -0,0 +1,60 @@
+//! Signals of a balancer process.
+
+mod support;
+
+use {
+    std::{fs, path::PathBuf},
+    support::Process,
+    tempfile::TempDir,
+};
+
+struct Files {
+    _directory: TempDir,
+    log: PathBuf,
+}
+
+fn balancer(format: &str) -> (Files, Process) {
+    let directory = TempDir::new().expect("a temporary directory");
+    let log = directory.path().join("log");
+    let settings = directory.path().join("settings.yaml");
+    let text = format!(
+        "drain: {{limit: 10s, quiet: 100ms}}\nlog: {{file: {}, format: {format}}}\n",
+        log.display()
+    );
+    fs::write(&settings, text).expect("the settings are written");
+    let settings = settings.to_str().expect("a path in UTF-8");
+    let process = Process::start(&["run", "--settings", settings]);
+    let files = Files {
+        _directory: directory,
+        log,
+    };
+    (files, process)
+}
+
+/// Guards against a planned stop that ends with an error, or that loses the last log lines.
+#[test]
+fn a_signal_ends_the_process_with_success() {
+    let (files, mut process) = balancer("text");
+    process.signal("TERM");
+    assert_eq!(process.wait(), Some(0));
+    let log = fs::read_to_string(&files.log).expect("a log");
+    for event in ["E1001", "E1002", "E1003", "E1005"] {
+        assert!(log.contains(event), "{event} is missing in {log}");
+    }
+}
+
+/// Guards against JSON lines that a log collector cannot parse.
+#[test]
+fn every_json_line_is_an_object_with_an_event() {
+    let (files, mut process) = balancer("json");
+    process.signal("INT");
+    assert_eq!(process.wait(), Some(0));
+    let log = fs::read_to_string(&files.log).expect("a log");
+    let lines: Vec<serde_json::Value> = log
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("an object"))
+        .collect();
+    let has = |event: &str| lines.iter().any(|line| line["event"] == event);
+    assert!(has("E1001") && has("E1005"), "{log}");
+    assert!(lines.iter().all(|line| line["balancer"] == "balancer"));
+}
--- a/crates/skylarkflow/tests/support/mod.rs
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Processes under test, stopped when dropped.
 
+// Every test file uses its own part of this module.
+#![allow(dead_code)]
+
 use {
     reqwest::{Client, header::IF_MATCH},
     serde_json::{Value, json},
@@ -9,13 +12,17 @@
         io::{BufRead, BufReader},
         net::SocketAddr,
         process::{Child, Command, Stdio},
+        thread,
         time::{Duration, Instant},
     },
     tempfile::TempDir,
 };
 
 /// Generous limit for a condition to hold.
-const LIMIT: Duration = Duration::from_secs(20);
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at a condition.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A process that has printed its addresses.
 pub struct Process {
@@ -53,6 +60,27 @@
     }
 }
 
+impl Process {
+    /// Sends a signal, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(status.expect("kill starts").success());
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let end = Instant::now() + LIMIT;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        panic!("the process has not ended within {LIMIT:?}");
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -135,6 +163,12 @@
     );
 }
 
+/// Reads a page of the documentation.
+pub fn page(name: &str) -> String {
+    let path = format!("{}/../../docs/{name}", env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(&path).expect("the page exists")
+}
+
 /// Repeats a request on new flows until one is answered.
 pub fn first_answer(service: SocketAddr) -> Caller {
     let end = Instant::now() + LIMIT;
--- a/crates/upstream/src/message.rs
+++ b/crates/upstream/src/message.rs
@@ -48,6 +48,32 @@
         .map_err(|_| Code::Encoding.into())
 }
 
+/// Writes an empty message that cancels a dispatch.
+///
+/// # Errors
+///
+/// Fails if the encoder does.
+pub fn cancel_to_vec(message_id: u16) -> Result<Vec<u8>> {
+    empty(MessageType::Reset, message_id)
+}
+
+/// Writes an empty message that acknowledges a confirmable message of an upstream.
+///
+/// # Errors
+///
+/// Fails if the encoder does.
+pub fn acknowledgement_to_vec(message_id: u16) -> Result<Vec<u8>> {
+    empty(MessageType::Acknowledgement, message_id)
+}
+
+fn empty(message_type: MessageType, message_id: u16) -> Result<Vec<u8>> {
+    let mut packet = Packet::new();
+    packet.header.code = MessageClass::Empty;
+    packet.header.set_type(message_type);
+    packet.header.message_id = message_id;
+    packet.to_bytes().map_err(|_| Code::Encoding.into())
+}
+
 /// Reads a message of an upstream.
 ///
 /// # Errors
