--- /dev/null
+++ b/crates/emulator/src/answer.rs
@@ -0,0 +1,153 @@
+//! Answers of an emulated upstream, block by block where the request asks for a bundle (RFC 7959).
+
+use coap_lite::{
+    CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType,
+    block_handler::BlockValue,
+};
+
+/// Elective option with the load: slots in use, slots, queue length, draining; one byte each.
+const LOAD_OPTION: CoapOption = CoapOption::Unknown(65_004);
+
+/// First path segment of the bundle.
+const BUNDLE_PATH: &[u8] = b"bundle";
+
+/// Largest block, in bytes.
+const BLOCK_BYTES: usize = 1_024;
+
+/// Seconds after which a refused request may be sent again.
+const MAX_AGE: u8 = 1;
+
+/// Load of an upstream as it reports it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    /// Slots in use.
+    pub busy: usize,
+    /// Slots.
+    pub slots: usize,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Whether the upstream is draining.
+    pub draining: bool,
+}
+
+/// What an upstream says about a request.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// It ran.
+    Text(String),
+    /// It ran; one block of the bundle.
+    Block {
+        /// Number of the block.
+        number: usize,
+        /// Length of the blocks.
+        size: usize,
+        /// Length of the bundle.
+        total: usize,
+    },
+    /// It did not run.
+    Refused,
+    /// It did not run, because the upstream belongs to another service.
+    OtherService,
+}
+
+/// Returns the answer to a request that ran.
+pub fn of(request: &Packet, text: String, bundle_bytes: usize) -> Answer {
+    let path = request.get_first_option(CoapOption::UriPath);
+    if path.map(Vec::as_slice) != Some(BUNDLE_PATH) {
+        return Answer::Text(text);
+    }
+    let option = request.get_first_option_as::<BlockValue>(CoapOption::Block2);
+    let block = option.and_then(Result::ok);
+    let size = block.as_ref().map_or(BLOCK_BYTES, BlockValue::size);
+    Answer::Block {
+        number: block.map_or(0, |block| usize::from(block.num)),
+        size: size.min(BLOCK_BYTES),
+        total: bundle_bytes,
+    }
+}
+
+/// Returns the bytes of a bundle between two positions, which differ from block to block.
+pub fn bundle(start: usize, end: usize) -> Vec<u8> {
+    let byte = |at: usize| (at / 4).to_be_bytes()[4 + at % 4];
+    (start..end).map(byte).collect()
+}
+
+/// Encodes an answer; after a separate acknowledgement it is a message of its own.
+pub fn to_vec(
+    request: &Packet,
+    is_acknowledged: bool,
+    answer: &Answer,
+    load: Load,
+) -> Option<Vec<u8>> {
+    let mut packet = Packet::new();
+    let message_type = if is_acknowledged {
+        MessageType::NonConfirmable
+    } else {
+        MessageType::Acknowledgement
+    };
+    packet.header.set_type(message_type);
+    packet.header.message_id = request.header.message_id;
+    packet.set_token(request.get_token().to_vec());
+    packet.header.code = MessageClass::Response(status(request, answer));
+    match answer {
+        Answer::Text(text) => packet.payload = text.clone().into_bytes(),
+        Answer::Block {
+            number,
+            size,
+            total,
+        } => add_block(&mut packet, *number, *size, *total)?,
+        Answer::Refused => packet.add_option(CoapOption::MaxAge, vec![MAX_AGE]),
+        Answer::OtherService => {}
+    }
+    packet.add_option(LOAD_OPTION, load.to_vec());
+    packet.to_bytes_unlimited().ok()
+}
+
+/// Encodes an acknowledgement without a response.
+pub fn acknowledgement(request: &Packet) -> Option<Vec<u8>> {
+    let mut packet = Packet::new();
+    packet.header.set_type(MessageType::Acknowledgement);
+    packet.header.code = MessageClass::Empty;
+    packet.header.message_id = request.header.message_id;
+    packet.to_bytes().ok()
+}
+
+fn add_block(packet: &mut Packet, number: usize, size: usize, total: usize) -> Option<()> {
+    let start = number * size;
+    if start >= total {
+        packet.header.code = MessageClass::Response(ResponseType::BadOption);
+        return Some(());
+    }
+    let end = (start + size).min(total);
+    let block = BlockValue::new(number, end < total, size).ok()?;
+    packet.add_option(CoapOption::ETag, total.to_be_bytes().to_vec());
+    packet.add_option(CoapOption::Block2, Vec::<u8>::from(block));
+    packet.payload = bundle(start, end);
+    Some(())
+}
+
+fn status(request: &Packet, answer: &Answer) -> ResponseType {
+    match answer {
+        Answer::Refused => return ResponseType::ServiceUnavailable,
+        Answer::OtherService => return ResponseType::ProxyingNotSupported,
+        Answer::Text(_) | Answer::Block { .. } => {}
+    }
+    match request.header.code {
+        MessageClass::Request(RequestType::Get | RequestType::Fetch) => ResponseType::Content,
+        MessageClass::Request(RequestType::Post) => ResponseType::Created,
+        MessageClass::Request(RequestType::Delete) => ResponseType::Deleted,
+        _ => ResponseType::Changed,
+    }
+}
+
+impl Load {
+    fn to_vec(self) -> Vec<u8> {
+        let byte = |number: usize| u8::try_from(number).unwrap_or(u8::MAX);
+        vec![
+            byte(self.busy),
+            byte(self.slots),
+            byte(self.queued),
+            u8::from(self.draining),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/call.rs
@@ -0,0 +1,188 @@
+//! One confirmable request of a caller and its retransmissions (RFC 7252, section 4.2).
+
+use {
+    coap_lite::{
+        CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType,
+        block_handler::BlockValue,
+    },
+    rand::{Rng, rngs::SmallRng},
+    std::time::{Duration, Instant},
+};
+
+/// Time until the first retransmission, before its random factor.
+pub const ACK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest random factor of the time until the first retransmission.
+const ACK_RANDOM_FACTOR: f64 = 1.5;
+
+/// Retransmissions of one request.
+const MAX_RETRANSMIT: u32 = 4;
+
+/// Length of the blocks that a caller asks for, in bytes.
+const BLOCK_BYTES: usize = 1_024;
+
+/// A request as a caller states it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method.
+    pub method: RequestType,
+    /// Path, with one segment.
+    pub path: String,
+    /// Query, which the emulated upstream repeats in its answer.
+    pub query: Option<String>,
+    /// Payload.
+    pub payload: Vec<u8>,
+    /// Number of the block to read.
+    pub block: Option<usize>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The service answered.
+    Answered,
+    /// The request did not run (5.03).
+    Refused,
+    /// The request may have run (5.04).
+    Unknown,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Call {
+    bytes: Vec<u8>,
+    message_id: u16,
+    token: Vec<u8>,
+    timeout: Duration,
+    next: Option<Instant>,
+    retransmissions: u32,
+}
+
+/// What a datagram means for a call.
+#[derive(Debug)]
+pub enum Heard {
+    /// The response.
+    Response(Box<Packet>),
+    /// The request has arrived; the response follows.
+    Acknowledged,
+    /// Nothing.
+    Other,
+}
+
+impl Default for Request {
+    fn default() -> Request {
+        Request {
+            method: RequestType::Get,
+            path: "stops".to_owned(),
+            query: None,
+            payload: Vec::new(),
+            block: None,
+        }
+    }
+}
+
+impl Request {
+    fn packet(&self, message_id: u16) -> Packet {
+        let mut packet = Packet::new();
+        packet.header.set_type(MessageType::Confirmable);
+        packet.header.code = MessageClass::Request(self.method);
+        packet.header.message_id = message_id;
+        packet.set_token(message_id.to_be_bytes().to_vec());
+        packet.add_option(CoapOption::UriPath, self.path.clone().into_bytes());
+        if let Some(query) = &self.query {
+            packet.add_option(CoapOption::UriQuery, query.clone().into_bytes());
+        }
+        let block = self
+            .block
+            .and_then(|number| BlockValue::new(number, false, BLOCK_BYTES).ok());
+        if let Some(block) = block {
+            packet.add_option(CoapOption::Block2, Vec::<u8>::from(block));
+        }
+        packet.payload = self.payload.clone();
+        packet
+    }
+}
+
+impl Call {
+    /// Starts a call; its first transmission is due at once.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the request does not fit into a datagram of CoAP.
+    pub fn new(request: &Request, message_id: u16, random: &mut SmallRng) -> Call {
+        let packet = request.packet(message_id);
+        let factor = random.random_range(1.0..=ACK_RANDOM_FACTOR);
+        Call {
+            bytes: packet.to_bytes().expect("a request fits into a datagram"),
+            message_id,
+            token: packet.get_token().to_vec(),
+            timeout: ACK_TIMEOUT.mul_f64(factor),
+            next: Some(Instant::now()),
+            retransmissions: 0,
+        }
+    }
+
+    /// Returns the datagram if a transmission is due.
+    pub fn due(&mut self) -> Option<&[u8]> {
+        let now = Instant::now();
+        if self.next? > now {
+            return None;
+        }
+        let wait = self.timeout * (1 << self.retransmissions);
+        let is_last = self.retransmissions == MAX_RETRANSMIT;
+        self.retransmissions += 1;
+        self.next = (!is_last).then(|| now + wait);
+        Some(&self.bytes)
+    }
+
+    /// Returns the time of the next transmission.
+    pub fn next(&self) -> Option<Instant> {
+        self.next
+    }
+
+    /// Returns the number of retransmissions so far.
+    pub fn retransmissions(&self) -> u32 {
+        self.retransmissions.saturating_sub(1)
+    }
+
+    /// Takes a datagram; the second value is an acknowledgement to send back.
+    pub fn hear(&mut self, bytes: &[u8]) -> (Heard, Option<Vec<u8>>) {
+        let Ok(packet) = Packet::from_bytes(bytes) else {
+            return (Heard::Other, None);
+        };
+        let message_type = packet.header.get_type();
+        let acknowledgement = (message_type == MessageType::Confirmable)
+            .then(|| acknowledgement(packet.header.message_id))
+            .flatten();
+        let is_own = packet.header.message_id == self.message_id;
+        let heard = match packet.header.code {
+            MessageClass::Empty if message_type == MessageType::Acknowledgement && is_own => {
+                self.next = None;
+                Heard::Acknowledged
+            }
+            MessageClass::Response(_) if packet.get_token() == self.token => {
+                self.next = None;
+                Heard::Response(Box::new(packet))
+            }
+            _ => Heard::Other,
+        };
+        (heard, acknowledgement)
+    }
+}
+
+/// Returns how a request ended.
+pub fn outcome(response: &Packet) -> Outcome {
+    match response.header.code {
+        MessageClass::Response(ResponseType::ServiceUnavailable) => Outcome::Refused,
+        MessageClass::Response(ResponseType::GatewayTimeout) => Outcome::Unknown,
+        _ => Outcome::Answered,
+    }
+}
+
+fn acknowledgement(message_id: u16) -> Option<Vec<u8>> {
+    let mut packet = Packet::new();
+    packet.header.set_type(MessageType::Acknowledgement);
+    packet.header.code = MessageClass::Empty;
+    packet.header.message_id = message_id;
+    packet.to_bytes().ok()
+}
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -1,8 +1,12 @@
 //! Emulated caller: a CoAP client that waits for one answer at a time.
 
 use {
-    crate::socket::DATAGRAM_BYTES,
-    coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType},
+    crate::{
+        call::{Call, Heard, Request},
+        socket::DATAGRAM_BYTES,
+    },
+    coap_lite::{CoapOption, Packet, RequestType, block_handler::BlockValue},
+    rand::{SeedableRng, rngs::SmallRng},
     std::{
         io,
         net::{SocketAddr, UdpSocket},
@@ -14,6 +18,7 @@
 #[derive(Debug)]
 pub struct Caller {
     socket: UdpSocket,
+    random: SmallRng,
     next: u16,
 }
 
@@ -26,10 +31,24 @@
     pub fn new(service: SocketAddr) -> io::Result<Caller> {
         let socket = UdpSocket::bind("127.0.0.1:0")?;
         socket.connect(service)?;
-        Ok(Caller { socket, next: 1 })
+        let seed = u64::from(socket.local_addr()?.port());
+        Ok(Caller {
+            socket,
+            random: SmallRng::seed_from_u64(seed),
+            next: 1,
+        })
     }
 
-    /// Sends a request once and waits for its answer.
+    /// Returns the address of the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a request without a payload and waits for its answer.
     ///
     /// # Errors
     ///
@@ -40,38 +59,97 @@
         path: &str,
         timeout: Duration,
     ) -> io::Result<Packet> {
-        let packet = self.packet(method, path);
-        let bytes = packet.to_bytes().map_err(io::Error::other)?;
-        self.socket.send(&bytes)?;
+        let request = Request {
+            method,
+            path: path.to_owned(),
+            ..Request::default()
+        };
+        self.call(&request, timeout)
+    }
+
+    /// Sends a request, retransmits it as RFC 7252 says, and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer to this request arrives in time.
+    pub fn call(&mut self, request: &Request, timeout: Duration) -> io::Result<Packet> {
+        let message_id = self.next;
+        self.next = self.next.wrapping_add(1);
+        let mut call = Call::new(request, message_id, &mut self.random);
         let end = Instant::now() + timeout;
+        let mut buffer = [0; DATAGRAM_BYTES];
         loop {
-            let answer = self.receive(end)?;
-            if answer.get_token() == packet.get_token() {
-                return Ok(answer);
+            if let Some(bytes) = call.due() {
+                self.socket.send(bytes)?;
+            }
+            let until = call.next().map_or(end, |next| next.min(end));
+            let Some(length) = self.receive(&mut buffer, until, end)? else {
+                continue;
+            };
+            let (heard, acknowledgement) = call.hear(&buffer[..length]);
+            if let Some(bytes) = acknowledgement {
+                self.socket.send(&bytes)?;
+            }
+            if let Heard::Response(response) = heard {
+                return Ok(*response);
             }
         }
     }
 
-    fn packet(&mut self, method: RequestType, path: &str) -> Packet {
-        let id = self.next;
-        self.next = self.next.wrapping_add(1);
-        let mut packet = Packet::new();
-        packet.header.set_type(MessageType::Confirmable);
-        packet.header.code = MessageClass::Request(method);
-        packet.header.message_id = id;
-        packet.set_token(id.to_be_bytes().to_vec());
-        packet.add_option(CoapOption::UriPath, path.as_bytes().to_vec());
-        packet
+    /// Reads a bundle block by block (RFC 7959).
+    ///
+    /// # Errors
+    ///
+    /// Fails if a block is not answered in time or is not the one asked for.
+    pub fn download(&mut self, path: &str, timeout: Duration) -> io::Result<Vec<u8>> {
+        let mut bundle = Vec::new();
+        for number in 0.. {
+            let request = Request {
+                path: path.to_owned(),
+                block: Some(number),
+                ..Request::default()
+            };
+            let response = self.call(&request, timeout)?;
+            let option = response.get_first_option_as::<BlockValue>(CoapOption::Block2);
+            let block = option
+                .and_then(Result::ok)
+                .filter(|block| usize::from(block.num) == number)
+                .ok_or(io::Error::other("the answer is not the block asked for"))?;
+            bundle.extend_from_slice(&response.payload);
+            if !block.more {
+                break;
+            }
+        }
+        Ok(bundle)
     }
 
-    fn receive(&self, end: Instant) -> io::Result<Packet> {
-        let rest = end.saturating_duration_since(Instant::now());
-        if rest.is_zero() {
+    /// Waits for a datagram until `until`; fails once `end` has passed.
+    fn receive(
+        &self,
+        buffer: &mut [u8],
+        until: Instant,
+        end: Instant,
+    ) -> io::Result<Option<usize>> {
+        let now = Instant::now();
+        if now >= end {
             return Err(io::ErrorKind::TimedOut.into());
         }
-        self.socket.set_read_timeout(Some(rest))?;
-        let mut buffer = [0; DATAGRAM_BYTES];
-        let length = self.socket.recv(&mut buffer)?;
-        Packet::from_bytes(&buffer[..length]).map_err(io::Error::other)
+        let wait = until.saturating_duration_since(now);
+        self.socket
+            .set_read_timeout(Some(wait.max(Duration::from_millis(1))))?;
+        match self.socket.recv(buffer) {
+            Ok(length) => Ok(Some(length)),
+            Err(error) if is_timeout(&error) => Ok(None),
+            // The fabric's socket may not be bound yet or any more; the retransmission tries again.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Ok(None),
+            Err(error) => Err(error),
+        }
     }
 }
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
--- a/crates/emulator/src/fabric.rs
+++ b/crates/emulator/src/fabric.rs
@@ -3,22 +3,47 @@
 use {
     crate::socket::{self, Stop},
     rand::{Rng, SeedableRng, rngs::SmallRng},
+    reqwest::Client,
     skylarkflow_caller::envelope::{self, Datagram},
     std::{
         collections::BTreeMap,
         io,
         net::{SocketAddr, UdpSocket},
         sync::{Arc, PoisonError, RwLock},
+        thread,
+        time::Duration,
     },
+    tokio::{runtime, time},
 };
 
+/// Time between two checks of a balancer's readiness.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time that a balancer has for the answer to a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Failed checks after which a balancer gets no more datagrams.
+const FAILURES: u32 = 2;
+
+/// Path of the readiness check.
+const READY_PATH: &str = "/v1/ready";
+
+/// A balancer as the fabric sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Address that takes datagrams.
+    pub ingress: SocketAddr,
+    /// Address of the administration API, whose readiness is checked; without it the balancer always gets datagrams.
+    pub admin: Option<SocketAddr>,
+}
+
 /// What a fabric connects.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Addresses of the services; port 0 takes a free port.
     pub services: Vec<SocketAddr>,
-    /// Ingress addresses of the balancers.
-    pub balancers: Vec<SocketAddr>,
+    /// Balancers.
+    pub balancers: Vec<Target>,
     /// Seed of the choice of a balancer for each datagram.
     pub seed: u64,
 }
@@ -37,10 +62,17 @@
 #[derive(Debug)]
 pub struct Fabric {
     services: Vec<SocketAddr>,
-    balancers: Arc<RwLock<Vec<SocketAddr>>>,
+    balancers: Arc<RwLock<Balancers>>,
     stop: Stop,
 }
 
+#[derive(Debug, Default)]
+struct Balancers {
+    targets: Vec<Target>,
+    /// Ingress addresses of the targets that are ready.
+    ready: Vec<SocketAddr>,
+}
+
 type Sockets = Arc<BTreeMap<SocketAddr, UdpSocket>>;
 
 impl Fabric {
@@ -61,13 +93,15 @@
         let sockets: Sockets = Arc::new(sockets);
         let fabric = Fabric {
             services,
-            balancers: Arc::new(RwLock::new(settings.balancers)),
+            balancers: Arc::default(),
             stop: Stop::default(),
         };
         for (offset, socket) in sockets.values().enumerate() {
             fabric.spray(socket, &back, settings.seed + offset as u64)?;
         }
         fabric.deliver(&back, sockets)?;
+        fabric.set_balancers(settings.balancers);
+        fabric.check()?;
         Ok(fabric)
     }
 
@@ -76,12 +110,35 @@
         &self.services
     }
 
-    /// Replaces the balancers that get datagrams.
-    pub fn set_balancers(&self, balancers: Vec<SocketAddr>) {
-        *self
+    /// Replaces the balancers; they get datagrams until their readiness check fails.
+    pub fn set_balancers(&self, targets: Vec<Target>) {
+        let ready = targets.iter().map(|target| target.ingress).collect();
+        let mut balancers = self
             .balancers
             .write()
-            .unwrap_or_else(PoisonError::into_inner) = balancers;
+            .unwrap_or_else(PoisonError::into_inner);
+        *balancers = Balancers { targets, ready };
+    }
+
+    /// Returns the ingress addresses that get datagrams.
+    pub fn ready(&self) -> Vec<SocketAddr> {
+        let balancers = self.balancers.read();
+        let balancers = balancers.unwrap_or_else(PoisonError::into_inner);
+        balancers.ready.clone()
+    }
+
+    fn check(&self) -> io::Result<()> {
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let checker = Checker {
+            balancers: Arc::clone(&self.balancers),
+            client: Client::new(),
+            failures: BTreeMap::new(),
+        };
+        let stop = self.stop.clone();
+        thread::spawn(move || runtime.block_on(checker.run(stop)));
+        Ok(())
     }
 
     fn spray(&self, socket: &UdpSocket, back: &UdpSocket, seed: u64) -> io::Result<()> {
@@ -96,10 +153,11 @@
                 payload,
             };
             let balancers = balancers.read().unwrap_or_else(PoisonError::into_inner);
-            if balancers.is_empty() {
+            let ready = &balancers.ready;
+            if ready.is_empty() {
                 return;
             }
-            let balancer = balancers[random.random_range(0..balancers.len())];
+            let balancer = ready[random.random_range(0..ready.len())];
             if let Ok(bytes) = envelope::to_vec(&datagram) {
                 let _ = back.send_to(&bytes, balancer);
             }
@@ -118,6 +176,59 @@
     }
 }
 
+/// Checks the readiness of the balancers.
+struct Checker {
+    balancers: Arc<RwLock<Balancers>>,
+    client: Client,
+    failures: BTreeMap<SocketAddr, u32>,
+}
+
+impl Checker {
+    async fn run(mut self, stop: Stop) {
+        while !stop.is_set() {
+            let targets = self.targets();
+            let mut ready = Vec::new();
+            for target in &targets {
+                if self.is_ready(target).await {
+                    ready.push(target.ingress);
+                }
+            }
+            self.adopt(&targets, ready);
+            time::sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    fn targets(&self) -> Vec<Target> {
+        let balancers = self.balancers.read();
+        let balancers = balancers.unwrap_or_else(PoisonError::into_inner);
+        balancers.targets.clone()
+    }
+
+    /// Adopts a result unless the targets were replaced in the meantime.
+    fn adopt(&self, targets: &[Target], ready: Vec<SocketAddr>) {
+        let balancers = self.balancers.write();
+        let mut balancers = balancers.unwrap_or_else(PoisonError::into_inner);
+        if balancers.targets == targets {
+            balancers.ready = ready;
+        }
+    }
+
+    async fn is_ready(&mut self, target: &Target) -> bool {
+        let Some(admin) = target.admin else {
+            return true;
+        };
+        let url = format!("http://{admin}{READY_PATH}");
+        let answer = self.client.get(url).timeout(CHECK_TIMEOUT).send().await;
+        let failures = self.failures.entry(target.ingress).or_default();
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            *failures = 0;
+        } else {
+            *failures += 1;
+        }
+        *failures < FAILURES
+    }
+}
+
 impl Drop for Fabric {
     fn drop(&mut self) {
         self.stop.set();
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,8 +3,12 @@
 //! They serve the demo, the load generator and the tests. Every one of them speaks the published protocol of the peer
 //! that it emulates: HTTP for the platform, PROXY protocol v2 for the fabric, CoAP for upstreams and callers.
 
+pub mod answer;
+pub mod call;
 pub mod caller;
 pub mod fabric;
+mod job;
+pub mod load;
 pub mod platform;
 pub mod socket;
 pub mod upstream;
--- /dev/null
+++ b/crates/emulator/src/load.rs
@@ -0,0 +1,356 @@
+//! Load generator: callers with seeded arrivals, latencies and counts.
+//!
+//! Arrivals do not wait for answers, and a latency counts from the arrival, so that a slow service is measured as slow.
+
+use {
+    crate::{
+        call::{self, Call, Heard, Outcome, Request},
+        socket::DATAGRAM_BYTES,
+    },
+    coap_lite::RequestType,
+    hdrhistogram::Histogram,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::UdpSocket,
+        runtime::{self, Runtime},
+        sync::{mpsc, watch},
+        time,
+    },
+};
+
+/// Time that the runtime gets to end its tasks.
+const STOP_LIMIT: Duration = Duration::from_millis(500);
+
+/// Significant digits of a latency.
+const DIGITS: u8 = 3;
+
+/// A kind of request in the mix.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Name in the report.
+    pub name: &'static str,
+    /// Method.
+    pub method: RequestType,
+    /// Path, with one segment.
+    pub path: String,
+    /// Share of the arrivals relative to the other kinds.
+    pub weight: u32,
+}
+
+/// What a load generator does.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the service.
+    pub service: SocketAddr,
+    /// Flows, each with one request at a time.
+    pub flows: usize,
+    /// Requests a second over all flows.
+    pub rate: f64,
+    /// Kinds of requests.
+    pub mix: Vec<Kind>,
+    /// Time after which a caller gives up.
+    pub timeout: Duration,
+    /// Threads.
+    pub threads: usize,
+    /// Seed of arrivals, kinds and flows.
+    pub seed: u64,
+}
+
+/// How the requests of one kind ended.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests that the service answered.
+    pub answered: u64,
+    /// Requests answered with 5.03.
+    pub refused: u64,
+    /// Requests answered with 5.04.
+    pub unknown: u64,
+    /// Requests without an answer in time.
+    pub lost: u64,
+    /// Answers that belong to another request.
+    pub wrong: u64,
+    /// Retransmissions.
+    pub retransmissions: u64,
+    /// Microseconds from the arrival to the answer of the service.
+    pub latency: Histogram<u64>,
+}
+
+/// What a load generator has seen.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Requests by the name of their kind.
+    pub kinds: BTreeMap<&'static str, Tally>,
+    /// Flows that were answered by another upstream than before.
+    pub moved: u64,
+    /// Queries of the non-idempotent requests that a caller was told did not run.
+    pub refused: Vec<String>,
+    /// Queries of the non-idempotent requests that were answered.
+    pub answered: Vec<String>,
+}
+
+/// A running load generator.
+pub struct Load {
+    runtime: Runtime,
+    report: Arc<Mutex<Report>>,
+    stop: watch::Sender<bool>,
+    flows: Vec<tokio::task::JoinHandle<()>>,
+}
+
+struct Arrival {
+    time: Instant,
+    kind: Kind,
+    query: String,
+}
+
+struct Flow {
+    socket: UdpSocket,
+    random: SmallRng,
+    next: u16,
+    timeout: Duration,
+    upstream: Option<String>,
+    report: Arc<Mutex<Report>>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            service: SocketAddr::from(([127, 0, 0, 1], 5683)),
+            flows: 50,
+            rate: 100.0,
+            mix: vec![Kind::default()],
+            timeout: Duration::from_secs(30),
+            threads: 2,
+            seed: 1,
+        }
+    }
+}
+
+impl Default for Kind {
+    fn default() -> Kind {
+        Kind {
+            name: "short",
+            method: RequestType::Get,
+            path: "stops".to_owned(),
+            weight: 1,
+        }
+    }
+}
+
+impl Default for Tally {
+    fn default() -> Tally {
+        Tally {
+            arrived: 0,
+            answered: 0,
+            refused: 0,
+            unknown: 0,
+            lost: 0,
+            wrong: 0,
+            retransmissions: 0,
+            latency: Histogram::new(DIGITS).expect("the number of digits is valid"),
+        }
+    }
+}
+
+impl Load {
+    /// Starts a load generator on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket or thread can be had.
+    pub fn start(settings: Settings) -> io::Result<Load> {
+        let mut builder = runtime::Builder::new_multi_thread();
+        let builder = builder.worker_threads(settings.threads).enable_all();
+        let runtime = builder.thread_name("load").build()?;
+        let report = Arc::new(Mutex::new(Report::default()));
+        let (stop, stopped) = watch::channel(false);
+        let mut queues = Vec::new();
+        let mut flows = Vec::new();
+        for index in 0..settings.flows {
+            let seed = settings.seed.wrapping_add(index as u64 + 1);
+            let flow = runtime.block_on(Flow::open(&settings, seed, Arc::clone(&report)))?;
+            let (queue, arrivals) = mpsc::unbounded_channel();
+            queues.push(queue);
+            flows.push(runtime.spawn(flow.run(arrivals)));
+        }
+        runtime.spawn(arrive(settings, queues, stopped, Arc::clone(&report)));
+        Ok(Load {
+            runtime,
+            report,
+            stop,
+            flows,
+        })
+    }
+
+    /// Returns what has been seen so far.
+    pub fn report(&self) -> Report {
+        lock(&self.report).clone()
+    }
+
+    /// Ends the arrivals, waits for the requests on their way and returns what has been seen.
+    pub fn finish(self) -> Report {
+        let _ = self.stop.send(true);
+        self.runtime.block_on(async {
+            for flow in self.flows {
+                let _ = flow.await;
+            }
+        });
+        self.runtime.shutdown_timeout(STOP_LIMIT);
+        lock(&self.report).clone()
+    }
+}
+
+impl Report {
+    /// Returns the sum of all kinds.
+    pub fn total(&self) -> Tally {
+        let mut total = Tally::default();
+        for tally in self.kinds.values() {
+            total.arrived += tally.arrived;
+            total.answered += tally.answered;
+            total.refused += tally.refused;
+            total.unknown += tally.unknown;
+            total.lost += tally.lost;
+            total.wrong += tally.wrong;
+            total.retransmissions += tally.retransmissions;
+            let _ = total.latency.add(&tally.latency);
+        }
+        total
+    }
+}
+
+impl Flow {
+    async fn open(settings: &Settings, seed: u64, report: Arc<Mutex<Report>>) -> io::Result<Flow> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        socket.connect(settings.service).await?;
+        Ok(Flow {
+            socket,
+            random: SmallRng::seed_from_u64(seed),
+            next: 1,
+            timeout: settings.timeout,
+            upstream: None,
+            report,
+        })
+    }
+
+    async fn run(mut self, mut arrivals: mpsc::UnboundedReceiver<Arrival>) {
+        while let Some(arrival) = arrivals.recv().await {
+            let request = Request {
+                method: arrival.kind.method,
+                path: arrival.kind.path.clone(),
+                query: Some(arrival.query.clone()),
+                payload: arrival.query.clone().into_bytes(),
+                block: None,
+            };
+            let mut call = Call::new(&request, self.next, &mut self.random);
+            self.next = self.next.wrapping_add(1);
+            let response = time::timeout(self.timeout, self.exchange(&mut call)).await;
+            self.record(&arrival, &call, response.ok());
+        }
+    }
+
+    async fn exchange(&self, call: &mut Call) -> coap_lite::Packet {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            if let Some(bytes) = call.due() {
+                let _ = self.socket.send(bytes).await;
+            }
+            let far = Instant::now() + self.timeout;
+            let wake = time::sleep_until(call.next().unwrap_or(far).into());
+            let length = tokio::select! {
+                received = self.socket.recv(&mut buffer) => received,
+                () = wake => continue,
+            };
+            let Ok(length) = length else {
+                continue;
+            };
+            let (heard, acknowledgement) = call.hear(&buffer[..length]);
+            if let Some(bytes) = acknowledgement {
+                let _ = self.socket.send(&bytes).await;
+            }
+            if let Heard::Response(response) = heard {
+                return *response;
+            }
+        }
+    }
+
+    fn record(&mut self, arrival: &Arrival, call: &Call, response: Option<coap_lite::Packet>) {
+        let mut report = lock(&self.report);
+        let tally = report.kinds.entry(arrival.kind.name).or_default();
+        tally.retransmissions += u64::from(call.retransmissions());
+        let Some(response) = response else {
+            tally.lost += 1;
+            return;
+        };
+        match call::outcome(&response) {
+            Outcome::Refused => {
+                tally.refused += 1;
+                report.refused.push(arrival.query.clone());
+            }
+            Outcome::Unknown => tally.unknown += 1,
+            Outcome::Answered => {
+                tally.answered += 1;
+                let elapsed = arrival.time.elapsed().as_micros();
+                tally.latency.saturating_record(elapsed as u64);
+                let text = String::from_utf8_lossy(&response.payload).into_owned();
+                tally.wrong += u64::from(!text.ends_with(&arrival.query));
+                let upstream = text.split(' ').next().map(str::to_owned);
+                let has_moved = self.upstream.is_some() && self.upstream != upstream;
+                report.moved += u64::from(has_moved);
+                if arrival.kind.method == RequestType::Post {
+                    report.answered.push(arrival.query.clone());
+                }
+                self.upstream = upstream;
+            }
+        }
+    }
+}
+
+async fn arrive(
+    settings: Settings,
+    queues: Vec<mpsc::UnboundedSender<Arrival>>,
+    mut stopped: watch::Receiver<bool>,
+    report: Arc<Mutex<Report>>,
+) {
+    let mut random = SmallRng::seed_from_u64(settings.seed);
+    let mut time = Instant::now();
+    for number in 0_u64.. {
+        let uniform: f64 = random.random();
+        time += Duration::from_secs_f64(-(1.0 - uniform).ln() / settings.rate);
+        tokio::select! {
+            () = time::sleep_until(time.into()) => {}
+            _ = stopped.changed() => return,
+        }
+        let kind = choose(&settings.mix, &mut random);
+        let query = format!("id={}-{number}", settings.seed);
+        lock(&report).kinds.entry(kind.name).or_default().arrived += 1;
+        let flow = random.random_range(0..queues.len());
+        let arrival = Arrival { time, kind, query };
+        if queues[flow].send(arrival).is_err() {
+            return;
+        }
+    }
+}
+
+fn choose(mix: &[Kind], random: &mut SmallRng) -> Kind {
+    let total: u32 = mix.iter().map(|kind| kind.weight).sum();
+    let mut rest = random.random_range(0..total);
+    for kind in mix {
+        if rest < kind.weight {
+            return kind.clone();
+        }
+        rest -= kind.weight;
+    }
+    mix[0].clone()
+}
+
+fn lock(report: &Mutex<Report>) -> MutexGuard<'_, Report> {
+    report.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/emulator/src/upstream.rs
+++ b/crates/emulator/src/upstream.rs
@@ -1,24 +1,40 @@
-//! Emulated upstream: a CoAP server with a fixed number of slots.
+//! Emulated upstream: a CoAP server with a fixed number of slots and a bounded queue.
+//!
+//! It enforces the deadline of a request, reports its load, sheds load with 5.03, accepts cancellations, and records
+//! which non-idempotent requests ran, so that a test finds a second run.
 
 use {
-    crate::socket::{self, Stop},
-    coap_lite::{
-        CoapOption, CoapRequest, MessageClass, MessageType, Packet, RequestType, ResponseType,
+    crate::{
+        answer::{self, Answer, Load},
+        job::{Job, Sender as Origin},
+        socket::{self, Stop},
     },
-    crossbeam::channel::{self, Receiver, Sender},
+    coap_lite::{MessageClass, MessageType, Packet, RequestType},
+    crossbeam::channel::{self, Receiver, Sender, TrySendError},
+    rustc_hash::FxHashMap,
     std::{
+        collections::{BTreeMap, VecDeque},
         io,
         net::{SocketAddr, UdpSocket},
         sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
-/// How an upstream behaves.
+/// Time after which a request gets an empty acknowledgement and its response follows separately; below ACK_TIMEOUT.
+const ACK_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks of a slot whether its request was cancelled.
+const SLICE: Duration = Duration::from_millis(5);
+
+/// Requests that are remembered to recognize a retransmission.
+const REMEMBERED: usize = 16_384;
+
+/// How an upstream starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Address of the CoAP server; port 0 takes a free port.
@@ -29,20 +45,29 @@
     pub service: String,
     /// Requests worked on at a time.
     pub slots: usize,
-    /// Time that a request takes.
-    pub service_time: Duration,
+    /// Requests that wait for a slot; more are refused with 5.03.
+    pub queue: usize,
+    /// Behaviour that can be changed later.
+    pub behaviour: Behaviour,
 }
 
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
-            address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            name: "upstream".to_owned(),
-            service: "service".to_owned(),
-            slots: 2,
-            service_time: Duration::ZERO,
-        }
-    }
+/// Behaviour of an upstream that can be changed while it runs.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// Time that a request takes.
+    pub service_time: Duration,
+    /// First path segment of long requests.
+    pub long_path: String,
+    /// Time that a long request takes.
+    pub long_time: Duration,
+    /// Whether it reports that it is draining; it still serves.
+    pub draining: bool,
+    /// Whether it refuses every request with 5.03.
+    pub refusing: bool,
+    /// Whether it neither runs nor answers anything.
+    pub silent: bool,
+    /// Length of the bundle that is served in blocks, in bytes.
+    pub bundle_bytes: usize,
 }
 
 /// What an upstream has seen.
@@ -52,25 +77,73 @@
     pub ran: AtomicU64,
     /// Requests for another service.
     pub misdelivered: AtomicU64,
+    /// Requests refused with 5.03.
+    pub refused: AtomicU64,
+    /// Requests whose deadline had passed before they could run.
+    pub expired: AtomicU64,
+    /// Requests cancelled before or while they ran.
+    pub cancelled: AtomicU64,
+    /// Requests dispatched to this upstream, retransmissions included.
+    pub received: AtomicU64,
 }
 
 /// A running upstream; it stops when dropped.
 #[derive(Debug)]
 pub struct Upstream {
     address: SocketAddr,
-    counters: Arc<Counters>,
+    shared: Arc<Shared>,
     stop: Stop,
 }
 
-struct Job {
-    source: SocketAddr,
-    packet: Packet,
-}
-
-struct Worker {
+#[derive(Debug)]
+struct Shared {
     socket: UdpSocket,
     settings: Settings,
-    counters: Arc<Counters>,
+    behaviour: RwLock<Behaviour>,
+    counters: Counters,
+    busy: AtomicUsize,
+    memory: Mutex<Memory>,
+    executed: Mutex<BTreeMap<Vec<u8>, u32>>,
+}
+
+/// Recent requests, which a retransmission or a cancellation names.
+#[derive(Debug, Default)]
+struct Memory {
+    order: VecDeque<Origin>,
+    jobs: FxHashMap<Origin, Remembered>,
+}
+
+#[derive(Debug)]
+struct Remembered {
+    is_cancelled: Arc<AtomicBool>,
+    answer: Option<Vec<u8>>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "upstream".to_owned(),
+            service: "service".to_owned(),
+            slots: 2,
+            queue: 64,
+            behaviour: Behaviour::default(),
+        }
+    }
+}
+
+impl Default for Behaviour {
+    fn default() -> Behaviour {
+        Behaviour {
+            service_time: Duration::ZERO,
+            long_path: "long".to_owned(),
+            long_time: Duration::from_millis(500),
+            draining: false,
+            refusing: false,
+            silent: false,
+            bundle_bytes: 1 << 20,
+        }
+    }
 }
 
 impl Upstream {
@@ -81,19 +154,32 @@
     /// Fails if the socket cannot be bound.
     pub fn start(settings: Settings) -> io::Result<Upstream> {
         let socket = UdpSocket::bind(settings.address)?;
-        let upstream = Upstream {
-            address: socket.local_addr()?,
-            counters: Arc::default(),
-            stop: Stop::default(),
-        };
-        let (sender, receiver) = channel::unbounded();
-        for _ in 0..settings.slots {
-            upstream.work(&socket, &settings, receiver.clone())?;
+        let address = socket.local_addr()?;
+        let (sender, receiver) = channel::bounded(settings.queue);
+        let slots = settings.slots;
+        let shared = Arc::new(Shared {
+            socket: socket.try_clone()?,
+            behaviour: RwLock::new(settings.behaviour.clone()),
+            settings,
+            counters: Counters::default(),
+            busy: AtomicUsize::default(),
+            memory: Mutex::default(),
+            executed: Mutex::default(),
+        });
+        for _ in 0..slots {
+            let (shared, jobs) = (Arc::clone(&shared), receiver.clone());
+            thread::spawn(move || shared.work(&jobs));
         }
-        socket::spawn(&socket, &upstream.stop, move |_, source, bytes| {
-            accept(&sender, source, bytes);
+        let stop = Stop::default();
+        let accepting = Arc::clone(&shared);
+        socket::spawn(&socket, &stop, move |_, source, bytes| {
+            accepting.accept(&sender, source, bytes);
         })?;
-        Ok(upstream)
+        Ok(Upstream {
+            address,
+            shared,
+            stop,
+        })
     }
 
     /// Returns the address of the CoAP server.
@@ -103,17 +189,18 @@
 
     /// Returns what the upstream has seen.
     pub fn counters(&self) -> &Counters {
-        &self.counters
+        &self.shared.counters
     }
 
-    fn work(&self, socket: &UdpSocket, settings: &Settings, jobs: Receiver<Job>) -> io::Result<()> {
-        let worker = Worker {
-            socket: socket.try_clone()?,
-            settings: settings.clone(),
-            counters: Arc::clone(&self.counters),
-        };
-        thread::spawn(move || jobs.iter().for_each(|job| worker.run(job)));
-        Ok(())
+    /// Changes the behaviour.
+    pub fn adjust(&self, change: impl FnOnce(&mut Behaviour)) {
+        let behaviour = self.shared.behaviour.write();
+        change(&mut behaviour.unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// Returns how often each non-idempotent request ran, by its payload.
+    pub fn executed(&self) -> BTreeMap<Vec<u8>, u32> {
+        self.shared.executed().clone()
     }
 }
 
@@ -123,44 +210,188 @@
     }
 }
 
-impl Worker {
-    fn run(&self, job: Job) {
-        let host = job.packet.get_first_option(CoapOption::UriHost).cloned();
-        let request = CoapRequest::from_packet(job.packet, job.source);
-        let method = *request.get_method();
-        let Some(mut response) = request.response else {
+impl Shared {
+    fn behaviour(&self) -> Behaviour {
+        let behaviour = self.behaviour.read();
+        behaviour.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn executed(&self) -> MutexGuard<'_, BTreeMap<Vec<u8>, u32>> {
+        self.executed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn accept(&self, jobs: &Sender<Job>, source: SocketAddr, bytes: &[u8]) {
+        if self.behaviour().silent {
+            return;
+        }
+        let Ok(packet) = Packet::from_bytes(bytes) else {
             return;
         };
-        if host.as_deref() == Some(self.settings.service.as_bytes()) {
-            thread::sleep(self.settings.service_time);
-            let ran = self.counters.ran.fetch_add(1, Ordering::Relaxed) + 1;
-            response.set_status(status(method));
-            response.message.payload = format!("{} {ran}", self.settings.name).into_bytes();
-        } else {
+        match (packet.header.code, packet.header.get_type()) {
+            (MessageClass::Empty, MessageType::Reset) => {
+                self.cancel(source, packet.header.message_id);
+            }
+            (MessageClass::Request(_), MessageType::Confirmable) => {
+                self.enqueue(jobs, source, packet);
+            }
+            _ => {}
+        }
+    }
+
+    fn enqueue(&self, jobs: &Sender<Job>, source: SocketAddr, packet: Packet) {
+        self.counters.received.fetch_add(1, Ordering::Relaxed);
+        let is_cancelled = Arc::new(AtomicBool::new(false));
+        let job = Job::new(source, packet, Arc::clone(&is_cancelled));
+        if let Some(answer) = self.memory().remember(&job.origin, is_cancelled) {
+            if let Some(bytes) = answer {
+                let _ = self.socket.send_to(&bytes, source);
+            }
+            return;
+        }
+        let load = self.load(jobs.len());
+        if self.behaviour().refusing {
+            return self.refuse(&job, load);
+        }
+        if let Err(TrySendError::Full(job)) = jobs.try_send(job) {
+            self.refuse(&job, load);
+        }
+    }
+
+    fn cancel(&self, source: SocketAddr, message_id: u16) {
+        let memory = self.memory();
+        let mut jobs = memory.order.iter().rev();
+        let origin = jobs.find(|one| one.source == source && one.message_id == message_id);
+        if let Some(job) = origin.and_then(|origin| memory.jobs.get(origin)) {
+            job.is_cancelled.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn work(&self, jobs: &Receiver<Job>) {
+        for mut job in jobs {
+            self.busy.fetch_add(1, Ordering::Relaxed);
+            let answer = self.run(&mut job);
+            // The slot is free before the answer leaves, so that the next request does not find it busy.
+            self.busy.fetch_sub(1, Ordering::Relaxed);
+            if let Some(answer) = answer {
+                self.answer(&job, &answer, self.load(jobs.len()));
+            }
+        }
+    }
+
+    fn run(&self, job: &mut Job) -> Option<Answer> {
+        let behaviour = self.behaviour();
+        if behaviour.silent {
+            return None;
+        }
+        if job.service() != Some(self.settings.service.as_bytes()) {
             self.counters.misdelivered.fetch_add(1, Ordering::Relaxed);
-            response.set_status(ResponseType::ProxyingNotSupported);
+            return Some(Answer::OtherService);
+        }
+        if job.is_cancelled() {
+            self.counters.cancelled.fetch_add(1, Ordering::Relaxed);
+            return None;
         }
-        if let Ok(bytes) = response.message.to_bytes_unlimited() {
-            let _ = self.socket.send_to(&bytes, job.source);
+        if job.is_late() {
+            self.counters.expired.fetch_add(1, Ordering::Relaxed);
+            return Some(Answer::Refused);
+        }
+        let ran = self.counters.ran.fetch_add(1, Ordering::Relaxed) + 1;
+        self.record(job);
+        let is_long = job.first_segment() == Some(behaviour.long_path.as_bytes());
+        let time = if is_long {
+            behaviour.long_time
+        } else {
+            behaviour.service_time
+        };
+        self.spend(job, time)?;
+        let text = format!("{} {ran} {}", self.settings.name, job.query());
+        Some(answer::of(&job.packet, text, behaviour.bundle_bytes))
+    }
+
+    /// Records the run of a non-idempotent request.
+    fn record(&self, job: &Job) {
+        let is_billed = matches!(
+            job.packet.header.code,
+            MessageClass::Request(RequestType::Post | RequestType::Patch)
+        );
+        if is_billed && !job.packet.payload.is_empty() {
+            let mut executed = self.executed();
+            *executed.entry(job.packet.payload.clone()).or_default() += 1;
+        }
+    }
+
+    /// Holds a slot for a time; `None` if the request is cancelled meanwhile.
+    fn spend(&self, job: &mut Job, time: Duration) -> Option<()> {
+        let end = Instant::now() + time;
+        loop {
+            if job.arrived.elapsed() >= ACK_DELAY && !job.is_acknowledged {
+                job.is_acknowledged = true;
+                if let Some(bytes) = answer::acknowledgement(&job.packet) {
+                    let _ = self.socket.send_to(&bytes, job.origin.source);
+                }
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Some(());
+            }
+            if job.is_cancelled() {
+                self.counters.cancelled.fetch_add(1, Ordering::Relaxed);
+                return None;
+            }
+            thread::sleep(left.min(SLICE));
         }
     }
-}
 
-fn accept(jobs: &Sender<Job>, source: SocketAddr, bytes: &[u8]) {
-    let Ok(packet) = Packet::from_bytes(bytes) else {
-        return;
-    };
-    let is_request = matches!(packet.header.code, MessageClass::Request(_));
-    if is_request && packet.header.get_type() == MessageType::Confirmable {
-        let _ = jobs.send(Job { source, packet });
+    fn refuse(&self, job: &Job, load: Load) {
+        self.counters.refused.fetch_add(1, Ordering::Relaxed);
+        self.answer(job, &Answer::Refused, load);
+    }
+
+    fn answer(&self, job: &Job, answer: &Answer, load: Load) {
+        let Some(bytes) = answer::to_vec(&job.packet, job.is_acknowledged, answer, load) else {
+            return;
+        };
+        if let Some(remembered) = self.memory().jobs.get_mut(&job.origin) {
+            remembered.answer = Some(bytes.clone());
+        }
+        let _ = self.socket.send_to(&bytes, job.origin.source);
+    }
+
+    fn load(&self, queued: usize) -> Load {
+        Load {
+            busy: self.busy.load(Ordering::Relaxed),
+            slots: self.settings.slots,
+            queued,
+            draining: self.behaviour().draining,
+        }
     }
 }
 
-fn status(method: RequestType) -> ResponseType {
-    match method {
-        RequestType::Get | RequestType::Fetch => ResponseType::Content,
-        RequestType::Post => ResponseType::Created,
-        RequestType::Delete => ResponseType::Deleted,
-        _ => ResponseType::Changed,
+impl Memory {
+    /// Remembers a request; `Some` with its answer, if it has one, when it is a retransmission.
+    fn remember(
+        &mut self,
+        origin: &Origin,
+        is_cancelled: Arc<AtomicBool>,
+    ) -> Option<Option<Vec<u8>>> {
+        if let Some(known) = self.jobs.get(origin) {
+            return Some(known.answer.clone());
+        }
+        if self.order.len() >= REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.jobs.remove(&oldest);
+        }
+        self.order.push_back(origin.clone());
+        let remembered = Remembered {
+            is_cancelled,
+            answer: None,
+        };
+        self.jobs.insert(origin.clone(), remembered);
+        None
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod control;
 pub mod datagram;
 pub mod error;
+pub mod link;
 
 pub use crate::error::{Error, Result};
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,281 @@
+//! Links: WebSocket connections that carry control messages which are too large for a datagram.
+//!
+//! Each balancer opens a link to every balancer that it has such messages for, and receives over the links of others.
+//! Both ends expect a frame within a deadline, since a connection can go silent without an error. The sender then opens
+//! a new one and repeats the message that it could not send, so a message may arrive twice.
+
+use {
+    futures_util::{SinkExt, StreamExt},
+    skylarkflow_policy::id::{Map, VmId},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::{self, TcpStream},
+        runtime,
+        sync::{Semaphore, mpsc},
+        time::{self, Instant},
+    },
+    tokio_tungstenite::{
+        WebSocketStream, accept_async_with_config, client_async_with_config,
+        tungstenite::{Error, Message, protocol::WebSocketConfig},
+    },
+};
+
+/// Limits of links.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Longest message, in bytes.
+    pub message_bytes: usize,
+    /// Messages that wait for one link.
+    pub queue: usize,
+    /// Links of other balancers at a time.
+    pub accepted: usize,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Time without a frame after which a link is lost.
+    pub deadline: Duration,
+    /// Time without a message after which a link is closed.
+    pub idle: Duration,
+    /// Time between two attempts to open a link.
+    pub backoff: Duration,
+}
+
+/// Something that happened on a link.
+#[derive(Debug)]
+pub enum Event {
+    /// A link was opened.
+    Opened(SocketAddr),
+    /// A link was lost or could not be opened.
+    Lost(SocketAddr, String),
+    /// A message has arrived.
+    Received(Vec<u8>),
+}
+
+/// Takes events; called on the threads of the runtime, so it must not block.
+pub type Handler = Arc<dyn Fn(Event) + Send + Sync>;
+
+/// The links of one balancer.
+pub struct Links {
+    shared: Arc<Shared>,
+    runtime: runtime::Handle,
+    senders: Mutex<Map<VmId, Sender>>,
+}
+
+struct Shared {
+    settings: Settings,
+    handler: Handler,
+}
+
+struct Sender {
+    address: SocketAddr,
+    queue: mpsc::Sender<Vec<u8>>,
+}
+
+type Stream = WebSocketStream<TcpStream>;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            message_bytes: 4 << 20,
+            queue: 256,
+            accepted: 64,
+            heartbeat: Duration::from_secs(1),
+            deadline: Duration::from_secs(3),
+            idle: Duration::from_secs(60),
+            backoff: Duration::from_millis(250),
+        }
+    }
+}
+
+impl Links {
+    /// Creates the links of a balancer, whose tasks run on `runtime`.
+    pub fn new(runtime: runtime::Handle, settings: Settings, handler: Handler) -> Links {
+        Links {
+            shared: Arc::new(Shared { settings, handler }),
+            runtime,
+            senders: Mutex::default(),
+        }
+    }
+
+    /// Accepts the links of other balancers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used by the runtime.
+    pub fn listen(&self, listener: TcpListener) -> io::Result<()> {
+        let _entered = self.runtime.enter();
+        listener.set_nonblocking(true)?;
+        let listener = net::TcpListener::from_std(listener)?;
+        let shared = Arc::clone(&self.shared);
+        self.runtime.spawn(shared.accept(listener));
+        Ok(())
+    }
+
+    /// Queues a message for a balancer; returns false if it is too long or its queue is full.
+    pub fn send(&self, to: VmId, address: SocketAddr, message: Vec<u8>) -> bool {
+        if message.len() > self.shared.settings.message_bytes {
+            return false;
+        }
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_current = |sender: &Sender| sender.address == address && !sender.queue.is_closed();
+        if !senders.get(&to).is_some_and(is_current) {
+            senders.insert(to, self.open(address));
+        }
+        let queue = senders.get(&to).map(|sender| &sender.queue);
+        queue.is_some_and(|queue| queue.try_send(message).is_ok())
+    }
+
+    /// Closes the links to balancers that `keep` rejects; what waits for them is dropped.
+    pub fn retain(&self, keep: impl Fn(VmId) -> bool) {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        senders.retain(|&to, _| keep(to));
+    }
+
+    fn open(&self, address: SocketAddr) -> Sender {
+        let (queue, messages) = mpsc::channel(self.shared.settings.queue);
+        let shared = Arc::clone(&self.shared);
+        self.runtime.spawn(shared.keep_sending(address, messages));
+        Sender { address, queue }
+    }
+}
+
+impl Shared {
+    fn config(&self) -> WebSocketConfig {
+        WebSocketConfig::default()
+            .max_message_size(Some(self.settings.message_bytes))
+            .max_frame_size(Some(self.settings.message_bytes))
+    }
+
+    async fn accept(self: Arc<Shared>, listener: net::TcpListener) {
+        let places = Arc::new(Semaphore::new(self.settings.accepted));
+        loop {
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+                return;
+            };
+            let Ok((stream, address)) = listener.accept().await else {
+                time::sleep(self.settings.backoff).await;
+                continue;
+            };
+            let shared = Arc::clone(&self);
+            tokio::spawn(async move {
+                let _place = place;
+                shared.receive(address, stream).await;
+            });
+        }
+    }
+
+    async fn receive(&self, address: SocketAddr, stream: TcpStream) {
+        let handshake = accept_async_with_config(stream, Some(self.config()));
+        let Ok(Ok(mut stream)) = time::timeout(self.settings.deadline, handshake).await else {
+            return;
+        };
+        (self.handler)(Event::Opened(address));
+        loop {
+            match time::timeout(self.settings.deadline, stream.next()).await {
+                Ok(Some(Ok(Message::Binary(bytes)))) => {
+                    (self.handler)(Event::Received(bytes.into()));
+                }
+                Ok(Some(Ok(Message::Close(_))) | None) => return,
+                Ok(Some(Ok(_))) => {}
+                Ok(Some(Err(error))) => return self.lose(address, &error.to_string()),
+                Err(_) => return self.lose(address, "no heartbeat within the deadline"),
+            }
+        }
+    }
+
+    /// Sends the messages of a queue, over new connections when one is lost, until the queue is closed or idle.
+    async fn keep_sending(self: Arc<Shared>, address: SocketAddr, queue: mpsc::Receiver<Vec<u8>>) {
+        let mut queue = queue;
+        let mut pending = None;
+        loop {
+            match self.connect(address).await {
+                Ok(stream) => {
+                    (self.handler)(Event::Opened(address));
+                    match self.drive(stream, &mut queue, &mut pending).await {
+                        Ok(()) => return,
+                        Err(reason) => self.lose(address, &reason),
+                    }
+                }
+                Err(reason) => self.lose(address, &reason),
+            }
+            time::sleep(self.settings.backoff).await;
+            if queue.is_closed() {
+                return;
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Stream, String> {
+        let connect = async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let url = format!("ws://{address}/v1/link");
+            client_async_with_config(url, stream, Some(self.config())).await
+        };
+        let opened: Result<Result<(Stream, _), Error>, _> =
+            time::timeout(self.settings.deadline, connect).await;
+        match opened {
+            Ok(Ok((stream, _))) => Ok(stream),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("no answer within the deadline".to_owned()),
+        }
+    }
+
+    async fn drive(
+        &self,
+        mut stream: Stream,
+        queue: &mut mpsc::Receiver<Vec<u8>>,
+        pending: &mut Option<Vec<u8>>,
+    ) -> Result<(), String> {
+        let mut heartbeat = time::interval(self.settings.heartbeat);
+        let mut heard = Instant::now();
+        let mut used = Instant::now();
+        loop {
+            if let Some(message) = pending.as_ref() {
+                self.write(&mut stream, Message::binary(message.clone()))
+                    .await?;
+                *pending = None;
+                used = Instant::now();
+            }
+            tokio::select! {
+                message = queue.recv() => match message {
+                    Some(message) => *pending = Some(message),
+                    None => return close(stream).await,
+                },
+                frame = stream.next() => match frame {
+                    Some(Ok(_)) => heard = Instant::now(),
+                    Some(Err(error)) => return Err(error.to_string()),
+                    None => return Err("closed by the other balancer".to_owned()),
+                },
+                _ = heartbeat.tick() => {
+                    if heard.elapsed() >= self.settings.deadline {
+                        return Err("no heartbeat within the deadline".to_owned());
+                    }
+                    if used.elapsed() >= self.settings.idle {
+                        queue.close();
+                    }
+                    self.write(&mut stream, Message::Ping(Vec::new().into())).await?;
+                }
+            }
+        }
+    }
+
+    async fn write(&self, stream: &mut Stream, message: Message) -> Result<(), String> {
+        match time::timeout(self.settings.deadline, stream.send(message)).await {
+            Ok(sent) => sent.map_err(|error| error.to_string()),
+            Err(_) => Err("a message was not taken within the deadline".to_owned()),
+        }
+    }
+
+    fn lose(&self, address: SocketAddr, reason: &str) {
+        (self.handler)(Event::Lost(address, reason.to_owned()));
+    }
+}
+
+async fn close(mut stream: Stream) -> Result<(), String> {
+    stream.close(None).await.map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/peer/tests/link.rs
@@ -0,0 +1,129 @@
+//! Links over loopback.
+
+use {
+    skylarkflow_peer::link::{Event, Links, Settings},
+    std::{
+        io::Read,
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            mpsc::{self, Receiver},
+        },
+        time::Duration,
+    },
+    tokio::runtime::Runtime,
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct End {
+    links: Links,
+    events: Receiver<Event>,
+}
+
+fn end(runtime: &Runtime, settings: Settings) -> End {
+    let (sender, events) = mpsc::channel();
+    let handler = Arc::new(move |event| drop(sender.send(event)));
+    End {
+        links: Links::new(runtime.handle().clone(), settings, handler),
+        events,
+    }
+}
+
+fn listen(end: &End, address: &str) -> SocketAddr {
+    let listener = TcpListener::bind(address).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    end.links.listen(listener).expect("the listener is used");
+    address
+}
+
+fn received(end: &End) -> Vec<u8> {
+    loop {
+        if let Event::Received(bytes) = end.events.recv_timeout(LIMIT).expect("an event") {
+            return bytes;
+        }
+    }
+}
+
+fn lost(end: &End) -> String {
+    loop {
+        if let Event::Lost(_, reason) = end.events.recv_timeout(LIMIT).expect("an event") {
+            return reason;
+        }
+    }
+}
+
+/// Guards against messages that change or lose their order on the way.
+#[test]
+fn messages_of_a_megabyte_arrive_in_order() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (a, b) = (
+        end(&runtime, Settings::default()),
+        end(&runtime, Settings::default()),
+    );
+    let address = listen(&b, "127.0.0.1:0");
+    for byte in 0..8 {
+        assert!(a.links.send(1, address, vec![byte; 1 << 20]));
+    }
+    for byte in 0..8 {
+        assert_eq!(received(&b), vec![byte; 1 << 20]);
+    }
+}
+
+/// Guards against a message that is lost because the other balancer was not up yet.
+#[test]
+fn a_link_is_opened_again_until_the_other_end_listens() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (a, b) = (
+        end(&runtime, Settings::default()),
+        end(&runtime, Settings::default()),
+    );
+    let free = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = free.local_addr().expect("an address");
+    drop(free);
+    assert!(a.links.send(1, address, b"bulk".to_vec()));
+    lost(&a);
+    listen(&b, &address.to_string());
+    assert_eq!(received(&b), b"bulk");
+}
+
+/// Guards against a link that stays open although nothing comes back over it.
+#[test]
+fn a_silent_link_is_lost_at_its_deadline() {
+    let runtime = Runtime::new().expect("a runtime");
+    let settings = Settings {
+        deadline: Duration::from_millis(200),
+        ..Settings::default()
+    };
+    let a = end(&runtime, settings);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let silent = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut bytes = Vec::new();
+        let _ = stream.read_to_end(&mut bytes);
+    });
+    assert!(a.links.send(1, address, b"bulk".to_vec()));
+    assert!(lost(&a).contains("within the deadline"));
+    silent
+        .join()
+        .expect("the silent end saw the connection close");
+}
+
+/// Guards against a queue that grows without bound while the other balancer is unreachable.
+#[test]
+fn a_full_queue_and_a_long_message_are_refused() {
+    let runtime = Runtime::new().expect("a runtime");
+    let settings = Settings {
+        queue: 4,
+        message_bytes: 100,
+        ..Settings::default()
+    };
+    let a = end(&runtime, settings);
+    let free = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = free.local_addr().expect("an address");
+    drop(free);
+    assert!(!a.links.send(1, address, vec![0; 101]));
+    let taken = (0..100).filter(|_| a.links.send(1, address, vec![0; 100]));
+    assert_eq!(taken.count(), 4);
+}
--- /dev/null
+++ b/crates/skylarkflow/src/admin.rs
@@ -0,0 +1,101 @@
+//! Server of the administration API.
+//!
+//! It is read-only but for the planned stop of this balancer. A configured token is required of every call; without
+//! one the settings allow only a loopback address.
+
+use {
+    crate::{context::Context, event, listener::Listener, metrics::Gauge, state},
+    axum::{
+        Json, Router,
+        extract::{Request, State},
+        http::{StatusCode, header::AUTHORIZATION},
+        middleware::{self, Next},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    skylarkflow_operator::wire::{self, Phase, Ready},
+    std::{io, net::TcpListener, sync::Arc},
+    tokio::{net, runtime},
+};
+
+/// Prefix of the token in the header of a call.
+const BEARER: &str = "Bearer ";
+
+/// Starts the server.
+///
+/// # Errors
+///
+/// Fails if the listener cannot be used by the runtime.
+pub fn start(
+    context: &Arc<Context>,
+    runtime: &runtime::Handle,
+    listener: TcpListener,
+) -> io::Result<()> {
+    let _entered = runtime.enter();
+    let limit = context.settings.admin.connections;
+    let listener = Listener::new(net::TcpListener::from_std(listener)?, limit);
+    let router = router(context);
+    runtime.spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
+fn router(context: &Arc<Context>) -> Router {
+    let authorize = middleware::from_fn_with_state(Arc::clone(context), authorize);
+    Router::new()
+        .route(wire::READY_PATH, get(ready))
+        .route(wire::STATE_PATH, get(read_state))
+        .route(wire::DRAIN_PATH, post(drain))
+        .layer(authorize)
+        .with_state(Arc::clone(context))
+}
+
+async fn authorize(State(context): State<Arc<Context>>, request: Request, next: Next) -> Response {
+    let Some(token) = &context.settings.admin.token else {
+        return next.run(request).await;
+    };
+    let header = request.headers().get(AUTHORIZATION);
+    let given = header.and_then(|header| header.to_str().ok()?.strip_prefix(BEARER));
+    if given.is_some_and(|given| is_equal(given.as_bytes(), token.as_bytes())) {
+        return next.run(request).await;
+    }
+    let text = format_args!("{} {}", request.method(), request.uri().path());
+    let now = context.clock.now();
+    context
+        .journal
+        .record_limited(now, &event::ADMIN_REFUSED, text);
+    StatusCode::UNAUTHORIZED.into_response()
+}
+
+/// Compares in a time that does not depend on the position of the first difference.
+fn is_equal(a: &[u8], b: &[u8]) -> bool {
+    let difference = a.iter().zip(b).fold(0, |bits, (a, b)| bits | (a ^ b));
+    a.len() == b.len() && difference == 0
+}
+
+async fn ready(State(context): State<Arc<Context>>) -> Response {
+    let phase = context.drain().phase;
+    let is_ready = phase == Phase::Serving;
+    context.metrics.set(Gauge::Ready, u64::from(is_ready));
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let body = Ready {
+        ready: is_ready,
+        phase,
+    };
+    (status, Json(body)).into_response()
+}
+
+async fn read_state(State(context): State<Arc<Context>>) -> Json<wire::State> {
+    Json(state::of(&context))
+}
+
+async fn drain(State(context): State<Arc<Context>>) -> (StatusCode, Json<wire::Drain>) {
+    if context.start_drain() {
+        let text = format_args!("of this balancer");
+        context.journal.record(&event::ADMIN_DRAIN, text);
+    }
+    (StatusCode::ACCEPTED, Json(state::drain(&context)))
+}
--- a/crates/skylarkflow/src/context.rs
+++ b/crates/skylarkflow/src/context.rs
@@ -10,6 +10,7 @@
         sockets::Sockets,
     },
     skylarkflow_operator::wire::Phase,
+    skylarkflow_peer::link::Links,
     skylarkflow_policy::{
         balancer::Core,
         id::{self, Map, UpstreamId, VmId},
@@ -39,7 +40,9 @@
     /// Log lines.
     pub journal: Journal,
     /// Counters.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
+    /// Links to other balancers.
+    pub links: Links,
     /// Balancers that this one knows.
     pub members: RwLock<Arc<Roster>>,
     drain: Mutex<Drain>,
@@ -99,7 +102,8 @@
         core: Core,
         sockets: Sockets,
         clock: Clock,
-        metrics: Metrics,
+        metrics: Arc<Metrics>,
+        links: Links,
     ) -> Context {
         Context {
             journal: Journal::new(&settings.name),
@@ -108,6 +112,7 @@
             sockets,
             clock,
             metrics,
+            links,
             members: RwLock::default(),
             drain: Mutex::default(),
             draining: AtomicBool::default(),
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::{
+        admin,
         clock::Clock,
         context::Context,
-        event, follower, ingress,
+        control, event, follower, ingress,
         metrics::Metrics,
         peers,
         receiver::{self, Handler},
@@ -12,7 +13,9 @@
         sockets::{self, Addresses, BindError, Listeners, Sockets},
         timer, upstreams,
     },
+    crossbeam::channel::Receiver,
     derive_more::{Display, Error, From},
+    skylarkflow_peer::link,
     skylarkflow_policy::{balancer::Core, dispatch::Fifo, id},
     std::{
         io,
@@ -62,14 +65,16 @@
     pub fn start(settings: Settings) -> Result<Handle, StartError> {
         let (sockets, listeners) = sockets::bind(&settings)?;
         let addresses = addresses(&sockets, &listeners)?;
-        let metrics = Metrics::new(&settings.metrics)?;
+        let metrics = Arc::new(Metrics::new(&settings.metrics)?);
         let clock = Clock::start();
         let id = id::from_name(&settings.name);
         let core = Core::new(id, clock.incarnation(), Fifo::factory());
-        let context = Context::new(settings, core, sockets, clock, metrics);
+        let runtime = runtime()?;
+        let (links, events) = control::links(&settings.limits, runtime.handle(), &metrics);
+        let context = Context::new(settings, core, sockets, clock, metrics, links);
         let context = Arc::new(context);
-        let runtime = start_tasks(&context, listeners)?;
-        let threads = start_threads(&context)?;
+        start_tasks(&context, &runtime, listeners)?;
+        let threads = start_threads(&context, events)?;
         record_start(&context, &addresses);
         Ok(Handle {
             context,
@@ -131,15 +136,22 @@
     })
 }
 
-fn start_tasks(context: &Arc<Context>, _listeners: Listeners) -> io::Result<Runtime> {
+fn runtime() -> io::Result<Runtime> {
     let mut builder = runtime::Builder::new_multi_thread();
     let builder = builder.worker_threads(RUNTIME_THREADS).enable_all();
-    let runtime = builder.thread_name("tasks").build()?;
+    builder.thread_name("tasks").build()
+}
+
+fn start_tasks(context: &Arc<Context>, runtime: &Runtime, listeners: Listeners) -> io::Result<()> {
+    context.links.listen(listeners.links)?;
     runtime.spawn(follower::run(Arc::clone(context)));
-    Ok(runtime)
+    admin::start(context, runtime.handle(), listeners.admin)
 }
 
-fn start_threads(context: &Arc<Context>) -> io::Result<Vec<JoinHandle<()>>> {
+fn start_threads(
+    context: &Arc<Context>,
+    events: Receiver<link::Event>,
+) -> io::Result<Vec<JoinHandle<()>>> {
     type Source = (&'static str, usize, fn(&Context) -> &UdpSocket, Handler);
     let workers = context.settings.workers;
     let sources: [Source; 3] = [
@@ -166,6 +178,9 @@
     for (name, count, socket, handler) in sources {
         threads.extend(receiver::start(context, name, count, socket, handler)?);
     }
+    let control = thread::Builder::new().name("control".to_owned());
+    let controlled = Arc::clone(context);
+    threads.push(control.spawn(move || control::run(&controlled, &events))?);
     let context = Arc::clone(context);
     let timer = thread::Builder::new().name("timer".to_owned());
     threads.push(timer.spawn(move || timer::run(&context))?);
--- a/crates/skylarkflow/src/emulate.rs
+++ b/crates/skylarkflow/src/emulate.rs
@@ -7,7 +7,7 @@
     skylarkflow_emulator::{
         fabric::{self, Fabric},
         platform::Platform,
-        upstream::{self, Upstream},
+        upstream::{self, Behaviour, Upstream},
     },
     std::{future, net::SocketAddr, thread, time::Duration},
     tokio::runtime,
@@ -36,7 +36,7 @@
     /// address of a service; port 0 takes a free port; repeatable
     #[argh(option)]
     service: Vec<SocketAddr>,
-    /// ingress address of a balancer; repeatable
+    /// ingress address of a balancer that always gets datagrams; repeatable
     #[argh(option)]
     balancer: Vec<SocketAddr>,
     /// seed of the choice of a balancer
@@ -87,9 +87,16 @@
 
 impl FabricPeer {
     fn run(self) -> Result {
+        let balancers = self.balancer.into_iter();
+        let balancers = balancers
+            .map(|ingress| fabric::Target {
+                ingress,
+                admin: None,
+            })
+            .collect();
         let fabric = Fabric::start(fabric::Settings {
             services: self.service,
-            balancers: self.balancer,
+            balancers,
             seed: self.seed,
         })?;
         println!("{}", json!({ "services": fabric.services() }));
@@ -115,7 +122,11 @@
             name: self.name,
             service: self.service,
             slots: self.slots,
-            service_time: Duration::from_millis(self.service_time_ms),
+            behaviour: Behaviour {
+                service_time: Duration::from_millis(self.service_time_ms),
+                ..Behaviour::default()
+            },
+            ..upstream::Settings::default()
         })?;
         println!("{}", json!({ "address": upstream.address() }));
         wait()
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -3,15 +3,18 @@
 //! [`daemon::Daemon`] starts a balancer on threads of its own; [`command`] is the command line around it. The decisions
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
+mod admin;
 pub mod clock;
 pub mod command;
 pub mod context;
+mod control;
 pub mod daemon;
 pub mod emulate;
 pub mod event;
 mod follower;
 mod ingress;
 pub mod journal;
+mod listener;
 pub mod logs;
 pub mod metrics;
 mod notes;
@@ -21,5 +24,6 @@
 mod run;
 pub mod settings;
 pub mod sockets;
+mod state;
 mod timer;
 mod upstreams;
--- /dev/null
+++ b/crates/skylarkflow/src/listener.rs
@@ -0,0 +1,94 @@
+//! A listener that accepts a limited number of connections at a time; more wait in the backlog.
+
+use {
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore},
+    },
+};
+
+/// A listener with a limit on connections.
+pub struct Listener {
+    listener: TcpListener,
+    places: Arc<Semaphore>,
+}
+
+/// A connection that holds its place until it is closed.
+pub struct Connection {
+    stream: TcpStream,
+    _place: Option<OwnedSemaphorePermit>,
+}
+
+impl Listener {
+    /// Limits the connections of a listener.
+    pub fn new(listener: TcpListener, connections: usize) -> Listener {
+        Listener {
+            listener,
+            places: Arc::new(Semaphore::new(connections)),
+        }
+    }
+}
+
+impl Connection {
+    fn stream(self: Pin<&mut Connection>) -> Pin<&mut TcpStream> {
+        Pin::new(&mut self.get_mut().stream)
+    }
+}
+
+impl axum::serve::Listener for Listener {
+    type Io = Connection;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (Connection, SocketAddr) {
+        let place = Arc::clone(&self.places).acquire_owned().await.ok();
+        let (stream, address) = axum::serve::Listener::accept(&mut self.listener).await;
+        let connection = Connection {
+            stream,
+            _place: place,
+        };
+        (connection, address)
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        self: Pin<&mut Connection>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.stream().poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        self: Pin<&mut Connection>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.stream().poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Connection>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream().poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        self: Pin<&mut Connection>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.stream().poll_shutdown(context)
+    }
+}
--- a/crates/skylarkflow/src/perform.rs
+++ b/crates/skylarkflow/src/perform.rs
@@ -142,13 +142,23 @@
     };
     let roster = context.roster();
     let (Some(row), Ok(bytes)) = (roster.get(to), datagram::control_to_vec(&control)) else {
-        let to = context.balancer_name(to);
-        let text = format_args!("to {to}");
-        return context.drop_datagram(Counter::ControlDropped, &event::CONTROL_DROPPED, text);
+        return drop_control(context, to, "it is not known");
     };
     context.metrics.count(Counter::ControlSent);
+    let length = bytes.len();
     context
         .metrics
-        .add(Counter::ControlBytesSent, bytes.len() as u64);
-    context.send(&context.sockets.peer, row.member.address, &bytes);
+        .add(Counter::ControlBytesSent, length as u64);
+    let address = row.member.address;
+    if length <= context.settings.limits.control_bytes {
+        context.send(&context.sockets.peer, address, &bytes);
+    } else if !context.links.send(to, address, bytes) {
+        drop_control(context, to, "its link has too much to send");
+    }
+}
+
+fn drop_control(context: &Context, to: VmId, reason: &str) {
+    let to = context.balancer_name(to);
+    let text = format_args!("to {to}: {reason}");
+    context.drop_datagram(Counter::ControlDropped, &event::CONTROL_DROPPED, text);
 }
--- a/crates/skylarkflow/src/settings.rs
+++ b/crates/skylarkflow/src/settings.rs
@@ -268,7 +268,7 @@
         Admin {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             token: None,
-            connections: 16,
+            connections: 64,
         }
     }
 }
--- /dev/null
+++ b/crates/skylarkflow/src/state.rs
@@ -0,0 +1,92 @@
+//! State of a balancer as the administration API shows it.
+
+use {
+    crate::{
+        context::{Context, Row},
+        metrics::Gauge,
+    },
+    skylarkflow_operator::wire,
+    skylarkflow_policy::config::{self, Resolved},
+    std::time::Duration,
+};
+
+/// Returns the state of a balancer.
+pub fn of(context: &Context) -> wire::State {
+    let tables = context.core.tables();
+    let mut routes: Vec<wire::Route> = tables.routes.values().map(|one| route(one)).collect();
+    let mut pools: Vec<wire::Pool> = tables.pools.values().map(|one| pool(one)).collect();
+    routes.sort_by(|a, b| a.name.cmp(&b.name));
+    pools.sort_by(|a, b| a.name.cmp(&b.name));
+    wire::State {
+        name: context.settings.name.clone(),
+        zone: context.settings.zone.clone(),
+        uptime_ms: milliseconds(context.clock.now()),
+        fence_held: true,
+        drain: drain(context),
+        members: context.roster().rows.iter().map(member).collect(),
+        routes,
+        pools,
+        flows: context.metrics.gauge(Gauge::Flows),
+        counters: context.metrics.snapshot(),
+    }
+}
+
+/// Returns the progress of a planned stop.
+pub fn drain(context: &Context) -> wire::Drain {
+    let drain = *context.drain();
+    let now = context.clock.now();
+    let elapsed = drain.since.map(|since| now.saturating_sub(since));
+    wire::Drain {
+        phase: drain.phase,
+        elapsed_ms: elapsed.map(milliseconds),
+        limit_ms: milliseconds(context.settings.drain.limit),
+    }
+}
+
+fn member(row: &Row) -> wire::Member {
+    wire::Member {
+        name: row.name.clone(),
+        zone: row.member.zone.clone(),
+        address: row.member.address,
+        state: row.state.to_owned(),
+    }
+}
+
+fn route(route: &config::Route) -> wire::Route {
+    wire::Route {
+        name: route.name.clone(),
+        generation: route.generation,
+        address: route.address,
+        pool: route.pool.clone(),
+        deadline_ms: milliseconds(route.deadline),
+    }
+}
+
+fn pool(resolved: &Resolved) -> wire::Pool {
+    let pool = &resolved.pool;
+    wire::Pool {
+        name: pool.name.clone(),
+        generation: pool.generation,
+        slots: pool.slots,
+        connections: pool.connections,
+        upstreams: pool.upstreams.iter().map(upstream).collect(),
+    }
+}
+
+fn upstream(upstream: &config::Upstream) -> wire::Upstream {
+    wire::Upstream {
+        name: upstream.name.clone(),
+        address: upstream.address,
+        zone: upstream.zone.clone(),
+        weight: upstream.weight,
+        draining: upstream.drain,
+        up: true,
+        flows: 0,
+        in_flight: 0,
+        queued: 0,
+    }
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/skylarkflow/src/upstreams.rs
+++ b/crates/skylarkflow/src/upstreams.rs
@@ -8,7 +8,7 @@
         perform::{self, Scratch},
     },
     skylarkflow_policy::balancer::Event,
-    skylarkflow_upstream::message,
+    skylarkflow_upstream::message::{self, Message},
     std::net::SocketAddr,
 };
 
@@ -16,7 +16,11 @@
 pub fn accept(context: &Context, scratch: &mut Scratch, source: SocketAddr, bytes: &[u8]) {
     context.metrics.count(Counter::UpstreamDatagrams);
     match message::from_slice(bytes) {
-        Ok(response) => perform::handle(context, scratch, Event::Response { source, response }),
+        Ok(Message::Response(response)) => {
+            perform::handle(context, scratch, Event::Response { source, response });
+        }
+        // The response follows, and the deadline of the dispatch ends the wait.
+        Ok(Message::Empty { .. }) => {}
         Err(error) => {
             let text = format_args!("from {source}: {error}");
             context.drop_datagram(Counter::BadUpstream, &event::BAD_UPSTREAM_MESSAGE, text);
--- /dev/null
+++ b/crates/skylarkflow/tests/admin.rs
@@ -0,0 +1,91 @@
+//! The administration API of a balancer process.
+
+mod support;
+
+use {
+    reqwest::{Method, StatusCode},
+    skylarkflow_operator::wire::{Drain, Phase, Ready, State},
+    support::site::{Options, SERVICE, Site, wait_until},
+};
+
+const TOKEN: &str = "5f0c7a";
+
+fn call(site: &Site, method: Method, path: &str, token: Option<&str>) -> reqwest::Response {
+    let url = format!("http://{}{path}", site.balancers[0].address("admin"));
+    let client = reqwest::Client::new();
+    let mut request = client.request(method, url);
+    if let Some(token) = token {
+        request = request.bearer_auth(token);
+    }
+    let answer = site.runtime.block_on(request.send());
+    answer.expect("the balancer answers")
+}
+
+fn one(settings: &str) -> Site {
+    Site::start(&Options {
+        zones: vec!["tacoma"],
+        upstreams: 2,
+        settings: settings.to_owned(),
+        ..Options::default()
+    })
+}
+
+/// Guards against a state that does not show what is in force.
+#[test]
+fn the_state_shows_members_routes_and_pools() {
+    let site = one("");
+    let state: State = site.state(0).expect("a state");
+    assert_eq!(state.name, "entry-0");
+    assert_eq!(state.members.len(), 1);
+    assert_eq!(state.members[0].state, "alive");
+    assert_eq!(state.routes[0].name, SERVICE);
+    assert_eq!(state.routes[0].generation, 1);
+    assert_eq!(state.routes[0].deadline_ms, 10_000);
+    assert_eq!(state.pools[0].upstreams.len(), 2);
+    assert_eq!(state.drain.phase, Phase::Serving);
+}
+
+/// Guards against a fabric that goes on delivering to a balancer that drains, because it still looks ready.
+#[test]
+fn readiness_ends_with_the_start_of_a_drain() {
+    let mut site = one("drain: {limit: 20s, quiet: 2s}\n");
+    assert_eq!(
+        call(&site, Method::GET, "/v1/ready", None).status(),
+        StatusCode::OK
+    );
+    let answer = call(&site, Method::POST, "/v1/drain", None);
+    assert_eq!(answer.status(), StatusCode::ACCEPTED);
+    let drain: Drain = site.runtime.block_on(answer.json()).expect("a drain");
+    assert_eq!(drain.phase, Phase::Draining);
+    let answer = call(&site, Method::GET, "/v1/ready", None);
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let ready: Ready = site.runtime.block_on(answer.json()).expect("readiness");
+    assert!(!ready.ready);
+    let ingress = site.balancers[0].address("ingress");
+    wait_until("the fabric stops delivering", || {
+        !site.fabric.ready().contains(&ingress)
+    });
+    assert_eq!(site.balancers[0].wait(), Some(0));
+}
+
+/// Guards against calls without the configured token, and against a drain over GET.
+#[test]
+fn calls_without_the_token_are_refused() {
+    let site = Site::start_unchecked(&Options {
+        zones: vec!["tacoma"],
+        settings: format!("admin: {{token: {TOKEN}}}\n"),
+        ..Options::default()
+    });
+    for path in ["/v1/ready", "/v1/state", "/v1/drain"] {
+        for token in [None, Some("5f0c7b"), Some("5f0c7a0"), Some("")] {
+            let answer = call(&site, Method::GET, path, token);
+            assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{path}");
+        }
+    }
+    let answer = call(&site, Method::POST, "/v1/drain", None);
+    assert_eq!(answer.status(), StatusCode::UNAUTHORIZED);
+    let answer = call(&site, Method::GET, "/v1/drain", Some(TOKEN));
+    assert_eq!(answer.status(), StatusCode::METHOD_NOT_ALLOWED);
+    let answer = call(&site, Method::GET, "/v1/state", Some(TOKEN));
+    assert_eq!(answer.status(), StatusCode::OK);
+}
--- a/crates/skylarkflow/tests/support/mod.rs
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Every test file uses its own part of this module.
 #![allow(dead_code)]
 
+pub mod site;
+
 use {
     reqwest::{Client, header::IF_MATCH},
     serde_json::{Value, json},
@@ -153,7 +155,7 @@
     upstream
 }
 
-async fn put(url: &str, value: &Value) {
+pub async fn put(url: &str, value: &Value) {
     let request = Client::new().put(url).header(IF_MATCH, "\"0\"").json(value);
     let response = request.send().await.expect("the platform answers");
     assert!(
--- /dev/null
+++ b/crates/skylarkflow/tests/support/site.rs
@@ -0,0 +1,210 @@
+//! Balancer processes between emulated peers in the test's own process, so that a test can change the peers and read
+//! their records.
+
+use {
+    crate::support::{LIMIT, POLL_INTERVAL, Process, put},
+    serde_json::{Value, json},
+    skylarkflow_emulator::{
+        fabric::{self, Fabric, Target},
+        platform::Platform,
+        upstream::{self, Behaviour, Upstream},
+    },
+    skylarkflow_operator::wire::State,
+    std::{
+        collections::BTreeMap,
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        thread,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::runtime::Runtime,
+};
+
+/// Name of the service.
+pub const SERVICE: &str = "dispatch";
+
+/// What a site consists of.
+pub struct Options {
+    /// Zones of the balancers, one for each.
+    pub zones: Vec<&'static str>,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Behaviour of the upstreams.
+    pub behaviour: Behaviour,
+    /// Further lines of the balancers' settings.
+    pub settings: String,
+}
+
+/// Balancer processes between emulated peers.
+pub struct Site {
+    pub runtime: Runtime,
+    pub base: String,
+    pub fabric: Fabric,
+    pub service: SocketAddr,
+    pub upstreams: Vec<Upstream>,
+    pub balancers: Vec<Process>,
+    pub directory: TempDir,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            zones: vec!["tacoma"; 4],
+            upstreams: 4,
+            behaviour: Behaviour::default(),
+            settings: String::new(),
+        }
+    }
+}
+
+impl Site {
+    /// Starts the peers and waits until every balancer serves.
+    pub fn start(options: &Options) -> Site {
+        let site = Site::start_unchecked(options);
+        site.wait_until_serving(options.zones.len());
+        site
+    }
+
+    /// Starts the peers.
+    pub fn start_unchecked(options: &Options) -> Site {
+        let runtime = Runtime::new().expect("a runtime");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::default();
+        let address = runtime.block_on(platform.serve(any)).expect("a platform");
+        let fabric = Fabric::start(fabric::Settings {
+            services: vec![any],
+            ..fabric::Settings::default()
+        });
+        let fabric = fabric.expect("a fabric");
+        let mut site = Site {
+            runtime,
+            base: format!("http://{address}"),
+            service: fabric.services()[0],
+            fabric,
+            upstreams: Vec::new(),
+            balancers: Vec::new(),
+            directory: TempDir::new().expect("a temporary directory"),
+        };
+        site.start_upstreams(options);
+        for (index, zone) in options.zones.iter().enumerate() {
+            site.start_balancer(index, zone, &options.settings);
+        }
+        site.connect_fabric();
+        site
+    }
+
+    fn start_upstreams(&mut self, options: &Options) {
+        let start = |index| {
+            let settings = upstream::Settings {
+                name: format!("{SERVICE}-{index}"),
+                service: SERVICE.to_owned(),
+                behaviour: options.behaviour.clone(),
+                ..upstream::Settings::default()
+            };
+            Upstream::start(settings).expect("an upstream")
+        };
+        self.upstreams = (0..options.upstreams).map(start).collect();
+        let rows = self.upstreams.iter().enumerate().map(|(index, upstream)| {
+            json!({
+                "name": format!("{SERVICE}-{index}"), "address": upstream.address(),
+                "zone": "tacoma", "weight": 1, "drain": false,
+            })
+        });
+        let pool = json!({
+            "name": SERVICE, "generation": 1, "slots": 2, "connections": 2000,
+            "upstreams": rows.collect::<Vec<Value>>(),
+        });
+        let route = json!({
+            "name": SERVICE, "generation": 1, "address": self.service, "pool": SERVICE,
+            "deadline": "10s",
+        });
+        self.put(&format!("objects/pools/{SERVICE}"), &pool);
+        self.put(&format!("objects/routes/{SERVICE}"), &route);
+    }
+
+    /// Starts a balancer and adds it to the VM list.
+    pub fn start_balancer(&mut self, index: usize, zone: &str, settings: &str) {
+        let name = format!("entry-{index}");
+        let path = self.directory.path().join(format!("{name}.yaml"));
+        let base = &self.base;
+        let log = self.log(index);
+        let text = format!(
+            "name: {name}\nzone: {zone}\nplatform: {base}\nlog: {{file: {}}}\n{settings}",
+            log.display()
+        );
+        fs::write(&path, text).expect("the settings are written");
+        let path = path.to_str().expect("a path in UTF-8");
+        let process = Process::start(&["run", "--settings", path]);
+        let record = json!({
+            "name": name, "zone": zone, "role": "entry", "state": "live",
+            "address": process.address("peer"),
+        });
+        self.put(&format!("vms/{name}"), &record);
+        self.balancers.push(process);
+    }
+
+    /// Makes the fabric deliver to every balancer that is ready.
+    pub fn connect_fabric(&self) {
+        let targets = self.balancers.iter().map(|balancer| Target {
+            ingress: balancer.address("ingress"),
+            admin: Some(balancer.address("admin")),
+        });
+        self.fabric.set_balancers(targets.collect());
+    }
+
+    /// Returns the path of a balancer's log.
+    pub fn log(&self, index: usize) -> PathBuf {
+        self.directory.path().join(format!("entry-{index}.log"))
+    }
+
+    /// Reads the state of a balancer, or nothing if it does not answer.
+    pub fn state(&self, index: usize) -> Option<State> {
+        let admin = self.balancers[index].address("admin");
+        self.runtime.block_on(async {
+            let answer = reqwest::get(format!("http://{admin}/v1/state"))
+                .await
+                .ok()?;
+            answer.json().await.ok()
+        })
+    }
+
+    /// Waits until every balancer knows `members` members and the tables.
+    pub fn wait_until_serving(&self, members: usize) {
+        wait_until("every balancer serves", || {
+            (0..self.balancers.len()).all(|index| {
+                self.state(index)
+                    .is_some_and(|state| state.members.len() >= members && !state.pools.is_empty())
+            })
+        });
+    }
+
+    /// Writes to the platform.
+    pub fn put(&self, path: &str, value: &Value) {
+        let url = format!("{}/v1/{path}", self.base);
+        self.runtime.block_on(put(&url, value));
+    }
+
+    /// Returns how often each non-idempotent request ran, over all upstreams.
+    pub fn executed(&self) -> BTreeMap<String, u32> {
+        let mut sum = BTreeMap::new();
+        for (payload, count) in self.upstreams.iter().flat_map(Upstream::executed) {
+            let payload = String::from_utf8_lossy(&payload).into_owned();
+            *sum.entry(payload).or_default() += count;
+        }
+        sum
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Duration {
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        if condition() {
+            return start.elapsed();
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    panic!("not within {LIMIT:?}: {what}");
+}
--- a/crates/upstream/src/message.rs
+++ b/crates/upstream/src/message.rs
@@ -74,19 +74,42 @@
     packet.to_bytes().map_err(|_| Code::Encoding.into())
 }
 
+/// A message of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// A response.
+    Response(Response),
+    /// An empty message: an acknowledgement whose response follows, or a reset.
+    Empty {
+        /// Acknowledgement or reset.
+        kind: Kind,
+        /// Message ID of the dispatch.
+        message_id: u16,
+    },
+}
+
 /// Reads a message of an upstream.
 ///
 /// # Errors
 ///
 /// Fails if the message is malformed or a request.
-pub fn from_slice(bytes: &[u8]) -> Result<Response> {
+pub fn from_slice(bytes: &[u8]) -> Result<Message> {
     let packet = Packet::from_bytes(bytes).map_err(|_| Error::from(Code::Message))?;
+    let kind = kind(packet.header.get_type());
+    if packet.header.code == MessageClass::Empty {
+        let message_id = packet.header.message_id;
+        return Ok(Message::Empty { kind, message_id });
+    }
+    response(&packet, kind, bytes).map(Message::Response)
+}
+
+fn response(packet: &Packet, kind: Kind, bytes: &[u8]) -> Result<Response> {
     let token = Token::from_slice(packet.get_token()).ok_or(Error::from(Code::Token))?;
     Ok(Response {
-        kind: kind(packet.header.get_type()),
+        kind,
         message_id: packet.header.message_id,
         token,
-        outcome: outcome(&packet)?,
+        outcome: outcome(packet)?,
         bytes: bytes.to_vec(),
     })
 }
