Add slots, queues, placement and health of one pool

Cause: the request path needs a dispatcher behind dispatch::Dispatcher. Fifo, the baseline, neither bounds the wait nor tells short requests from long ones.

pool::Dispatcher keeps one lane per upstream for short and one for long requests, each with an adaptive limit, refuses early by the estimated wait, places new flows by the default table with bounded load, and takes upstreams out on passive signals. Sums over the pool are kept incrementally, so that no decision visits all upstreams.

Ruled out: a timer per waiting job. A set of the upstreams with a backlog is visited at each tick instead.

--- /dev/null
+++ b/crates/policy/src/class.rs
@@ -0,0 +1,221 @@
+//! Short or long, from measured service times.
+//!
+//! A few requests run many times longer than the rest. The class of a request (method and path prefix) predicts this,
+//! and no setting has to name the long ones. See [requests](../../../docs/design.md#6-requests).
+
+use {crate::id::Map, std::time::Duration};
+
+/// Number of buckets of a histogram; with a factor of 2 for every two buckets it spans 1 ms to over an hour.
+const BUCKETS: usize = 44;
+
+/// Buckets for each doubling of the service time.
+const BUCKETS_PER_DOUBLING: f64 = 2.0;
+
+/// Lower bound of the histogram, in seconds.
+const SHORTEST_SECONDS: f64 = 0.001;
+
+/// Settings of an [`Estimator`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Time in which a sample loses half its weight.
+    pub half_life: Duration,
+    /// A class is long when its median is this many times the median of all requests.
+    pub long_above: f64,
+    /// A long class is short again below this multiple. The gap keeps a class from changing with every sample.
+    pub short_below: f64,
+    /// Weight of samples from which on a class is judged.
+    pub samples: f64,
+    /// Most classes that are told apart, which bounds the memory that callers can occupy with made-up paths.
+    pub classes: usize,
+    /// Growth of the no-load latency per second without a lower sample.
+    pub rise: f64,
+}
+
+/// Whether a request holds a slot for long.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Kind {
+    /// Waits in the queue that is served first.
+    #[default]
+    Short,
+    /// May hold all slots but one.
+    Long,
+}
+
+/// Service times per class of one pool.
+#[derive(Clone, Debug)]
+pub struct Estimator {
+    settings: Settings,
+    all: Histogram,
+    classes: Map<u64, Class>,
+    baselines: [Baseline; 2],
+}
+
+#[derive(Clone, Debug)]
+struct Class {
+    histogram: Histogram,
+    kind: Kind,
+}
+
+#[derive(Clone, Debug)]
+struct Histogram {
+    weights: [f32; BUCKETS],
+    total: f32,
+    decayed: Duration,
+}
+
+/// The lowest mean of recent windows of samples; a single lowest sample says little about varying service times.
+#[derive(Clone, Copy, Debug, Default)]
+struct Baseline {
+    lowest: Option<f64>,
+    sum: f64,
+    count: u32,
+    updated: Duration,
+}
+
+/// Samples of one window of a [`Baseline`].
+const WINDOW: u32 = 32;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            half_life: Duration::from_secs(60),
+            long_above: 8.0,
+            short_below: 4.0,
+            samples: 4.0,
+            classes: 1_024,
+            rise: 0.005,
+        }
+    }
+}
+
+impl Kind {
+    /// Returns the position of the kind in arrays.
+    pub fn index(self) -> usize {
+        self as usize
+    }
+}
+
+impl Estimator {
+    /// Creates an estimator that takes every class for short.
+    pub fn new(settings: Settings) -> Estimator {
+        Estimator {
+            settings,
+            all: Histogram::default(),
+            classes: Map::default(),
+            baselines: Default::default(),
+        }
+    }
+
+    /// Records the time from dispatch to answer of a request.
+    pub fn observe(&mut self, now: Duration, class: u64, latency: Duration) {
+        let seconds = latency.as_secs_f64();
+        let settings = self.settings;
+        self.all.add(now, seconds, settings.half_life);
+        if self.classes.len() >= settings.classes && !self.classes.contains_key(&class) {
+            return;
+        }
+        let entry = self.classes.entry(class).or_default();
+        entry.histogram.add(now, seconds, settings.half_life);
+        entry.judge(&settings, self.all.median());
+        self.baselines[entry.kind.index()].add(now, seconds, settings.rise);
+    }
+
+    /// Returns whether requests of a class are short or long; an unknown class is short.
+    pub fn kind(&self, class: u64) -> Kind {
+        self.classes
+            .get(&class)
+            .map_or(Kind::Short, |class| class.kind)
+    }
+
+    /// Returns the mean latency without load, in seconds, or `None` before the first window of samples.
+    pub fn no_load(&self, kind: Kind) -> Option<f64> {
+        self.baselines[kind.index()].lowest
+    }
+}
+
+impl Default for Class {
+    fn default() -> Class {
+        Class {
+            histogram: Histogram::default(),
+            kind: Kind::Short,
+        }
+    }
+}
+
+impl Class {
+    fn judge(&mut self, settings: &Settings, pool_median: f64) {
+        if f64::from(self.histogram.total) < settings.samples {
+            return;
+        }
+        let ratio = self.histogram.median() / pool_median;
+        self.kind = match self.kind {
+            Kind::Short if ratio >= settings.long_above => Kind::Long,
+            Kind::Long if ratio < settings.short_below => Kind::Short,
+            kind => kind,
+        };
+    }
+}
+
+impl Default for Histogram {
+    fn default() -> Histogram {
+        Histogram {
+            weights: [0.0; BUCKETS],
+            total: 0.0,
+            decayed: Duration::ZERO,
+        }
+    }
+}
+
+impl Histogram {
+    /// Time between two decays as a share of the half-life.
+    const STEP: f64 = 1.0 / 16.0;
+
+    fn add(&mut self, now: Duration, seconds: f64, half_life: Duration) {
+        self.decay(now, half_life);
+        let doublings = (seconds / SHORTEST_SECONDS).max(1.0).log2();
+        let bucket = (doublings * BUCKETS_PER_DOUBLING) as usize;
+        self.weights[bucket.min(BUCKETS - 1)] += 1.0;
+        self.total += 1.0;
+    }
+
+    fn decay(&mut self, now: Duration, half_life: Duration) {
+        let age = now.saturating_sub(self.decayed);
+        if age < half_life.mul_f64(Histogram::STEP) {
+            return;
+        }
+        let factor = 0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64()) as f32;
+        self.weights.iter_mut().for_each(|weight| *weight *= factor);
+        self.total = self.weights.iter().sum();
+        self.decayed = now;
+    }
+
+    fn median(&self) -> f64 {
+        let mut below = 0.0;
+        let mut bucket = 0;
+        for (index, weight) in self.weights.iter().enumerate() {
+            bucket = index;
+            below += weight;
+            if below * 2.0 >= self.total {
+                break;
+            }
+        }
+        SHORTEST_SECONDS * (bucket as f64 / BUCKETS_PER_DOUBLING).exp2()
+    }
+}
+
+impl Baseline {
+    fn add(&mut self, now: Duration, seconds: f64, rise: f64) {
+        self.sum += seconds;
+        self.count += 1;
+        if self.count < WINDOW {
+            return;
+        }
+        let mean = self.sum / f64::from(self.count);
+        let age = now.saturating_sub(self.updated).as_secs_f64();
+        let risen = self.lowest.map(|lowest| lowest * (1.0 + rise * age));
+        self.lowest = Some(risen.map_or(mean, |risen| risen.min(mean)));
+        self.sum = 0.0;
+        self.count = 0;
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,222 @@
+//! State of the upstreams of a pool from passive and active signals.
+//!
+//! Health endpoints lag and mislead, so what requests experience decides: an upstream that answers is up, whatever its
+//! reports say. See [health](../../../docs/design.md#9-configuration).
+
+use {
+    crate::id::{Map, UpstreamId},
+    std::{cmp::Reverse, collections::BinaryHeap, time::Duration},
+};
+
+/// Settings of a [`Monitor`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Consecutive requests without an answer after which an upstream is down.
+    pub failures: u32,
+    /// Age up to which an answer outweighs a report of the health endpoint.
+    pub answer_age: Duration,
+    /// Age up to which a report counts.
+    pub report_age: Duration,
+    /// Time for which an upstream is left alone after the first failure; it doubles with each further one.
+    pub pause: Duration,
+    /// Longest such time.
+    pub longest_pause: Duration,
+}
+
+/// Something that was seen of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// It answered or refused a request.
+    Answered,
+    /// A request got no answer before its deadline.
+    TimedOut,
+    /// Its health endpoint was probed.
+    Report {
+        /// What the endpoint said.
+        is_up: bool,
+        /// Time of the probe.
+        observed: Duration,
+    },
+}
+
+/// A change of an upstream's state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// It is down.
+    Down(UpstreamId),
+    /// It is up after failures, possibly after a restart, and needs a slow start.
+    Cold(UpstreamId),
+    /// It is up; only reports had said otherwise.
+    Up(UpstreamId),
+}
+
+/// The state of the upstreams of one pool.
+#[derive(Clone, Debug)]
+pub struct Monitor {
+    settings: Settings,
+    records: Map<UpstreamId, Record>,
+    down: usize,
+    ends: BinaryHeap<Reverse<(Duration, UpstreamId)>>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    failures: u32,
+    answered: Option<Duration>,
+    strikes: u32,
+    down: Option<Down>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Down {
+    until: Duration,
+    is_passive: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            failures: 3,
+            answer_age: Duration::from_secs(10),
+            report_age: Duration::from_secs(5),
+            pause: Duration::from_secs(2),
+            longest_pause: Duration::from_secs(30),
+        }
+    }
+}
+
+impl Monitor {
+    /// Creates a monitor without upstreams.
+    pub fn new(settings: Settings) -> Monitor {
+        Monitor {
+            settings,
+            records: Map::default(),
+            down: 0,
+            ends: BinaryHeap::new(),
+        }
+    }
+
+    /// Adds an upstream, which is up.
+    pub fn add(&mut self, upstream: UpstreamId) {
+        self.records.entry(upstream).or_default();
+    }
+
+    /// Forgets an upstream.
+    pub fn remove(&mut self, upstream: UpstreamId) {
+        let record = self.records.remove(&upstream);
+        self.down -= usize::from(record.is_some_and(|record| record.down.is_some()));
+    }
+
+    /// Returns whether an upstream looks down, whatever the others do.
+    pub fn looks_down(&self, upstream: UpstreamId) -> bool {
+        let record = self.records.get(&upstream);
+        record.is_some_and(|record| record.down.is_some())
+    }
+
+    /// Returns whether all upstreams are used, since more than half look down.
+    ///
+    /// The observer may be the one that is cut off.
+    pub fn fails_open(&self) -> bool {
+        self.down * 2 > self.records.len()
+    }
+
+    /// Records a signal and returns the change that it causes.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        upstream: UpstreamId,
+        signal: Signal,
+    ) -> Option<Change> {
+        let settings = self.settings;
+        let record = self.records.get_mut(&upstream)?;
+        let was_down = record.down.is_some();
+        let was_passive = record.down.is_some_and(|down| down.is_passive);
+        record.apply(&settings, now, signal);
+        if let Some(down) = record.down {
+            self.ends.push(Reverse((down.until, upstream)));
+        }
+        match (was_down, record.down.is_some()) {
+            (false, true) => {
+                self.down += 1;
+                Some(Change::Down(upstream))
+            }
+            (true, false) => {
+                self.down -= 1;
+                Some(up(upstream, was_passive))
+            }
+            _ => None,
+        }
+    }
+
+    /// Ends the pauses that are over and appends the changes.
+    ///
+    /// An upstream that returns this way is down again after one more failure.
+    pub fn tick(&mut self, now: Duration, changes: &mut Vec<Change>) {
+        while let Some(&Reverse((until, upstream))) = self.ends.peek()
+            && until <= now
+        {
+            self.ends.pop();
+            let Some(record) = self.records.get_mut(&upstream) else {
+                continue;
+            };
+            let Some(down) = record.down.filter(|down| down.until <= now) else {
+                continue;
+            };
+            record.down = None;
+            self.down -= 1;
+            changes.push(up(upstream, down.is_passive));
+        }
+    }
+}
+
+impl Record {
+    fn apply(&mut self, settings: &Settings, now: Duration, signal: Signal) {
+        match signal {
+            Signal::Answered => {
+                *self = Record {
+                    answered: Some(now),
+                    ..Record::default()
+                };
+            }
+            Signal::TimedOut => self.fail(settings, now),
+            Signal::Report { is_up, observed } => self.report(settings, now, is_up, observed),
+        }
+    }
+
+    fn fail(&mut self, settings: &Settings, now: Duration) {
+        self.failures += 1;
+        let is_down = self.down.is_some_and(|down| down.is_passive);
+        if is_down || self.failures < settings.failures {
+            return;
+        }
+        let pause = settings.pause.saturating_mul(1 << self.strikes.min(16));
+        self.strikes += 1;
+        self.down = Some(Down {
+            until: now + pause.min(settings.longest_pause),
+            is_passive: true,
+        });
+    }
+
+    fn report(&mut self, settings: &Settings, now: Duration, is_up: bool, observed: Duration) {
+        let until = observed + settings.report_age;
+        let has_answered = self
+            .answered
+            .is_some_and(|at| now.saturating_sub(at) < settings.answer_age);
+        let is_passive = self.down.is_some_and(|down| down.is_passive);
+        if now >= until || has_answered || is_passive {
+            return;
+        }
+        self.down = (!is_up).then_some(Down {
+            until,
+            is_passive: false,
+        });
+    }
+}
+
+fn up(upstream: UpstreamId, is_passive: bool) -> Change {
+    if is_passive {
+        Change::Cold(upstream)
+    } else {
+        Change::Up(upstream)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! Start at [`balancer::Core`], which puts the modules together for one balancer.
 
+pub mod admission;
 pub mod balancer;
+pub mod class;
 pub mod config;
 pub mod dedupe;
 pub mod dispatch;
@@ -14,9 +16,15 @@
 pub mod exchange;
 pub mod flow;
 pub mod handover;
+pub mod health;
 pub mod id;
 pub mod lookup;
+pub mod members;
 pub mod owner;
+pub mod placement;
+pub mod pool;
+pub mod queue;
+pub mod retry;
 pub mod vm;
 pub mod zone;
 
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,106 @@
+//! The upstream of a new flow: the default, or an exception.
+//!
+//! Every balancer derives the default from the configuration alone, so that only exceptions have to be known elsewhere.
+//! See [placement](../../../docs/design.md#5-placement).
+
+use crate::{flow::Hash, id::UpstreamId, lookup::Table};
+
+/// Settings of the placement of new flows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Bounded-load limit, as a multiple of the mean share.
+    pub bound: f64,
+    /// Candidates drawn from the default table before the usable upstreams are drawn from.
+    pub table_draws: u64,
+    /// Candidates drawn from the usable upstreams, which finds the few that are left when most are down.
+    pub usable_draws: u64,
+}
+
+/// The upstream of a new flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Whether it differs from the default.
+    pub is_exception: bool,
+}
+
+/// Whether an upstream can take a new flow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Room {
+    /// It has spare capacity.
+    Spare,
+    /// It is usable but above its bounded-load limit; the value is its load as a multiple of that limit.
+    Above(f64),
+    /// It is draining, down or at its connection limit.
+    Closed,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            bound: 1.10,
+            table_draws: 16,
+            usable_draws: 16,
+        }
+    }
+}
+
+/// Chooses the upstream of a new flow, or `None` if no candidate can take it.
+///
+/// `usable` are the upstreams that are neither draining nor down. The number of candidates is bounded, so that the cost
+/// does not grow with the pool.
+pub fn choose(
+    settings: &Settings,
+    table: &Table,
+    usable: &[UpstreamId],
+    flow: Hash,
+    room: impl Fn(UpstreamId) -> Room,
+) -> Option<Choice> {
+    let default = table.get(flow);
+    let choice = |upstream| Choice {
+        upstream,
+        is_exception: Some(upstream) != default,
+    };
+    let mut least: Option<(f64, UpstreamId)> = None;
+    for upstream in candidates(settings, table, usable, flow) {
+        match room(upstream) {
+            Room::Spare => return Some(choice(upstream)),
+            Room::Above(load) if least.is_none_or(|(lowest, _)| load < lowest) => {
+                least = Some((load, upstream));
+            }
+            Room::Above(_) | Room::Closed => {}
+        }
+    }
+    least.map(|(_, upstream)| choice(upstream))
+}
+
+/// Returns the bounded-load limit of an upstream that has `weight` of the pool's `total_weight`.
+pub fn limit(settings: &Settings, flows: u64, weight: f64, total_weight: f64) -> f64 {
+    (settings.bound * flows as f64 * weight / total_weight).ceil()
+}
+
+fn candidates<'a>(
+    settings: &Settings,
+    table: &'a Table,
+    usable: &'a [UpstreamId],
+    flow: Hash,
+) -> impl Iterator<Item = UpstreamId> + 'a {
+    let drawn = (1..=settings.table_draws).filter_map(move |draw| table.get(mix(flow, draw)));
+    let last = settings.table_draws + settings.usable_draws;
+    let others = (settings.table_draws + 1..=last)
+        .filter_map(move |draw| usable.get(position(mix(flow, draw), usable.len())).copied());
+    table.get(flow).into_iter().chain(drawn).chain(others)
+}
+
+fn position(hash: u64, length: usize) -> usize {
+    hash.checked_rem(length as u64).unwrap_or(0) as usize
+}
+
+/// Returns an independent hash for each draw of a flow (the finalizer of SplitMix64).
+fn mix(flow: Hash, draw: u64) -> u64 {
+    let mut hash = flow.wrapping_add(draw.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/policy/src/pool.rs
@@ -0,0 +1,583 @@
+//! Slots, queues and placement of one pool at one balancer.
+//!
+//! The slots of an upstream are shared by all balancers without coordination. Each works from its own count of requests
+//! in flight and from what answers and refusals tell. See [requests](../../../docs/design.md#6-requests).
+
+use {
+    crate::{
+        admission::{self, Limit},
+        class::{self, Estimator, Kind},
+        config::Resolved,
+        dispatch::{self, Job, JobId, JobResult, Placement, Verdict},
+        exchange::Effect,
+        flow::Hash,
+        health::{self, Change, Monitor},
+        id::{Map, Set, UpstreamId},
+        members::Members,
+        placement::{self, Room},
+        queue::{Lane, Running},
+        retry::{self, Budget},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+};
+
+/// Time for which an ended job can be retried.
+const RETRY_MEMORY: Duration = Duration::from_secs(30);
+
+/// Settings of a [`Dispatcher`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Concurrency limits.
+    pub admission: admission::Settings,
+    /// Short or long.
+    pub class: class::Settings,
+    /// State of the upstreams.
+    pub health: health::Settings,
+    /// Placement of new flows.
+    pub placement: placement::Settings,
+    /// Retry budget.
+    pub retry: retry::Settings,
+    /// Most requests of one kind that wait for one upstream.
+    pub queue: usize,
+    /// Longest wait that is accepted, as a share of the time to the deadline. The estimate varies with the service
+    /// times, so the rest is kept as a reserve.
+    pub patience: f64,
+    /// Age of a short request in flight, as a multiple of the latency without load, from which on its upstream seems
+    /// occupied by long requests and gets no further one.
+    pub blocked: f64,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// Something that another part of the balancer knows about an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// It is leaving, or no longer is.
+    Drain(bool),
+    /// Its health endpoint was probed.
+    Health {
+        /// What the endpoint said.
+        is_up: bool,
+        /// Time of the probe.
+        observed: Duration,
+    },
+    /// Its load endpoint was probed.
+    Load {
+        /// Requests that wait at the upstream.
+        waiting: u32,
+        /// Time of the probe.
+        observed: Duration,
+    },
+}
+
+/// The load decisions of one balancer for one pool.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: Settings,
+    pool: Arc<Resolved>,
+    balancers: u32,
+    upstreams: Map<UpstreamId, Upstream>,
+    /// Upstreams that are not draining.
+    open: Members,
+    /// Upstreams that are neither draining nor down.
+    healthy: Members,
+    health: Monitor,
+    classes: Estimator,
+    budget: Budget,
+    jobs: Map<JobId, (UpstreamId, Kind)>,
+    backlog: Set<UpstreamId>,
+    ended: VecDeque<Ended>,
+    retries: Map<(Hash, Duration), Duration>,
+    random: SmallRng,
+}
+
+/// A job that ended without an answer.
+#[derive(Debug)]
+struct Ended {
+    at: Duration,
+    job: Job,
+    result: JobResult,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    weight: u32,
+    flows: u32,
+    is_drained: bool,
+    is_marked: bool,
+    lanes: [Lane; 2],
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            admission: admission::Settings::default(),
+            class: class::Settings::default(),
+            health: health::Settings::default(),
+            placement: placement::Settings::default(),
+            retry: retry::Settings::default(),
+            queue: 64,
+            patience: 0.5,
+            blocked: 4.0,
+            seed: 0,
+        }
+    }
+}
+
+impl Upstream {
+    fn is_draining(&self) -> bool {
+        self.is_drained || self.is_marked || self.weight == 0
+    }
+
+    fn waiting(&self) -> usize {
+        self.lanes.iter().map(Lane::waiting).sum()
+    }
+
+    fn lane(&mut self, kind: Kind) -> &mut Lane {
+        &mut self.lanes[kind.index()]
+    }
+}
+
+impl Dispatcher {
+    /// Creates the dispatcher of a pool whose upstreams are warm.
+    pub fn new(settings: Settings, pool: &Arc<Resolved>, balancers: u32) -> Dispatcher {
+        let mut dispatcher = Dispatcher {
+            settings,
+            pool: pool.clone(),
+            balancers,
+            upstreams: Map::default(),
+            open: Members::default(),
+            healthy: Members::default(),
+            health: Monitor::new(settings.health),
+            classes: Estimator::new(settings.class),
+            budget: Budget::new(settings.retry),
+            jobs: Map::default(),
+            backlog: Set::default(),
+            ended: VecDeque::new(),
+            retries: Map::default(),
+            random: SmallRng::seed_from_u64(settings.seed),
+        };
+        dispatcher.adopt();
+        dispatcher
+    }
+
+    /// Returns a factory for [`Core::new`](crate::balancer::Core::new).
+    pub fn factory(settings: Settings, balancers: u32) -> dispatch::Factory {
+        Box::new(move |pool| Box::new(Dispatcher::new(settings, pool, balancers)))
+    }
+
+    /// Sets the number of balancers that send to the upstreams of this pool.
+    pub fn set_balancers(&mut self, balancers: u32) {
+        self.balancers = balancers;
+        self.share();
+    }
+
+    /// Takes in what another part of the balancer knows about an upstream.
+    pub fn signal(&mut self, now: Duration, upstream: UpstreamId, signal: Signal) {
+        match signal {
+            Signal::Drain(is_marked) => self.mark(upstream, is_marked),
+            Signal::Health { is_up, observed } => {
+                self.observe(now, upstream, health::Signal::Report { is_up, observed });
+            }
+            Signal::Load { waiting, observed } => {
+                let is_recent = now.saturating_sub(observed) < self.settings.admission.report_age;
+                if let Some(entry) = self.upstreams.get_mut(&upstream)
+                    && waiting > 0
+                    && is_recent
+                {
+                    entry.lane(Kind::Short).limit.report_busy(now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether requests of a class are short or long.
+    pub fn kind(&self, class: u64) -> Kind {
+        self.classes.kind(class)
+    }
+
+    fn adopt(&mut self) -> Vec<UpstreamId> {
+        let pool = self.pool.clone();
+        let mut added = Vec::new();
+        for (&id, &at) in &pool.positions {
+            let configured = &pool.pool.upstreams[at];
+            self.health.add(id);
+            if !self.upstreams.contains_key(&id) {
+                added.push(id);
+                let upstream = self.create();
+                self.upstreams.insert(id, upstream);
+            }
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.weight = configured.weight;
+                upstream.is_drained = configured.drain;
+            }
+        }
+        for &id in pool.positions.keys() {
+            self.refresh(id);
+        }
+        added
+    }
+
+    fn create(&self) -> Upstream {
+        let slots = self.pool.pool.slots;
+        let limit = |slots| Limit::new(self.settings.admission, slots, self.balancers);
+        Upstream {
+            weight: 0,
+            flows: 0,
+            is_drained: false,
+            is_marked: false,
+            lanes: [Lane::new(limit(slots)), Lane::new(limit(long_slots(slots)))],
+        }
+    }
+
+    fn share(&mut self) {
+        let slots = self.pool.pool.slots;
+        for upstream in self.upstreams.values_mut() {
+            let [short, long] = &mut upstream.lanes;
+            short.limit.set_share(slots, self.balancers);
+            long.limit.set_share(long_slots(slots), self.balancers);
+        }
+    }
+
+    fn forget_removed(&mut self) {
+        let positions = &self.pool.positions;
+        let is_removed = |id: &&UpstreamId| !positions.contains_key(*id);
+        let removed: Vec<UpstreamId> = self.upstreams.keys().filter(is_removed).copied().collect();
+        for id in removed {
+            self.health.remove(id);
+            self.open.remove(id);
+            self.healthy.remove(id);
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.is_drained = true;
+            }
+            self.backlog.insert(id);
+        }
+    }
+
+    fn mark(&mut self, id: UpstreamId, is_marked: bool) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.is_marked = is_marked;
+            self.refresh(id);
+        }
+    }
+
+    /// Updates the sets of candidates after a change of one upstream.
+    fn refresh(&mut self, id: UpstreamId) {
+        let Some(upstream) = self.upstreams.get(&id) else {
+            return;
+        };
+        let is_open = !upstream.is_draining();
+        let is_healthy = is_open && !self.health.looks_down(id);
+        let (weight, flows) = (upstream.weight, upstream.flows);
+        self.open.set(id, is_open, weight, flows);
+        self.healthy.set(id, is_healthy, weight, flows);
+    }
+
+    fn observe(&mut self, now: Duration, id: UpstreamId, signal: health::Signal) {
+        if let Some(change) = self.health.observe(now, id, signal) {
+            self.apply(now, change);
+        }
+    }
+
+    fn apply(&mut self, now: Duration, change: Change) {
+        let (Change::Down(id) | Change::Cold(id) | Change::Up(id)) = change;
+        if let Change::Cold(_) = change {
+            self.start_cold(now, id);
+        }
+        self.refresh(id);
+        self.backlog.insert(id);
+    }
+
+    fn start_cold(&mut self, now: Duration, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream
+                .lanes
+                .iter_mut()
+                .for_each(|lane| lane.limit.start_cold(now));
+        }
+    }
+
+    fn can_serve(&self, id: UpstreamId) -> bool {
+        let is_down = self.health.looks_down(id) && !self.health.fails_open();
+        self.pool.positions.contains_key(&id) && !is_down
+    }
+
+    fn room(&self, now: Duration, members: &Members, id: UpstreamId) -> Room {
+        let Some(upstream) = self.upstreams.get(&id).filter(|_| members.contains(id)) else {
+            return Room::Closed;
+        };
+        if upstream.flows >= self.pool.pool.connections {
+            return Room::Closed;
+        }
+        let limit = placement::limit(
+            &self.settings.placement,
+            members.flows() + 1,
+            f64::from(upstream.weight),
+            members.weight() as f64,
+        );
+        let load = f64::from(upstream.flows + 1) / (limit * upstream.lanes[0].limit.warmth(now));
+        if load <= 1.0 {
+            Room::Spare
+        } else {
+            Room::Above(load)
+        }
+    }
+
+    fn is_accepted(&self, now: Duration, job: &Job, kind: Kind) -> Result<(), u32> {
+        let Some(upstream) = self.upstreams.get(&job.upstream) else {
+            return Err(1);
+        };
+        let lane = &upstream.lanes[kind.index()];
+        let wait = lane.wait(now, job);
+        let left = job.deadline.saturating_sub(now).as_secs_f64();
+        let is_late = wait > left * self.settings.patience;
+        if lane.waiting() >= self.settings.queue || is_late || !self.can_serve(job.upstream) {
+            return Err(max_age(wait));
+        }
+        Ok(())
+    }
+
+    /// Sends what the limits of an upstream allow and refuses what can no longer be answered in time.
+    fn advance(&mut self, now: Duration, id: UpstreamId, verdicts: &mut Vec<Verdict>) {
+        self.refuse_late(now, id, verdicts);
+        while let Some(job) = self.next(now, id, Kind::Short) {
+            self.start(now, Kind::Short, job, verdicts);
+        }
+        while !self.is_blocked(now, id)
+            && let Some(job) = self.next(now, id, Kind::Long)
+        {
+            self.start(now, Kind::Long, job, verdicts);
+        }
+        let waiting = self.upstreams.get(&id).map_or(0, Upstream::waiting);
+        if waiting == 0 {
+            self.backlog.remove(&id);
+            self.drop_removed(id);
+        } else {
+            self.backlog.insert(id);
+        }
+    }
+
+    fn drop_removed(&mut self, id: UpstreamId) {
+        let is_idle = |upstream: &Upstream| upstream.lanes.iter().all(|lane| lane.in_flight() == 0);
+        if !self.pool.positions.contains_key(&id) && self.upstreams.get(&id).is_some_and(is_idle) {
+            self.upstreams.remove(&id);
+        }
+    }
+
+    fn next(&mut self, now: Duration, id: UpstreamId, kind: Kind) -> Option<Job> {
+        self.upstreams.get_mut(&id)?.lane(kind).pop(now)
+    }
+
+    fn is_blocked(&self, now: Duration, id: UpstreamId) -> bool {
+        let Some(no_load) = self.classes.no_load(Kind::Short) else {
+            return false;
+        };
+        let age = Duration::from_secs_f64(no_load * self.settings.blocked);
+        let since = now.saturating_sub(age);
+        let upstream = self.upstreams.get(&id);
+        upstream.is_some_and(|upstream| upstream.lanes[0].has_run_since(since))
+    }
+
+    fn start(&mut self, now: Duration, kind: Kind, job: Job, verdicts: &mut Vec<Verdict>) {
+        verdicts.push(Verdict::Dispatch(job.id));
+        if self.retries.remove(&(job.flow, job.arrived)).is_none() {
+            self.budget.deposit();
+        }
+        self.jobs.insert(job.id, (job.upstream, kind));
+        if let Some(upstream) = self.upstreams.get_mut(&job.upstream) {
+            upstream.lane(kind).start(now, job);
+        }
+    }
+
+    fn refuse_late(&mut self, now: Duration, id: UpstreamId, verdicts: &mut Vec<Verdict>) {
+        let is_usable = self.can_serve(id);
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        let mut late = Vec::new();
+        for lane in &mut upstream.lanes {
+            let reserve = Duration::from_secs_f64(lane.latency().unwrap_or(0.0));
+            lane.expire(|job| !is_usable || now + reserve > job.deadline, &mut late);
+        }
+        for id in late {
+            self.jobs.remove(&id);
+            verdicts.push(Verdict::Refuse { id, max_age: 1 });
+        }
+    }
+
+    fn settle(&mut self, now: Duration, kind: Kind, running: &Running, result: JobResult) {
+        let latency = now.saturating_sub(running.since);
+        let id = running.job.upstream;
+        let signal = match result {
+            JobResult::Answered => self.answered(now, kind, running, latency),
+            JobResult::Refused => admission::Signal::Refused,
+            JobResult::TimedOut => admission::Signal::TimedOut,
+            JobResult::Cancelled => return,
+        };
+        let seen = match result {
+            JobResult::TimedOut => health::Signal::TimedOut,
+            _ => health::Signal::Answered,
+        };
+        self.observe(now, id, seen);
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.lane(kind).limit.finished(now, latency, signal);
+        }
+    }
+
+    fn answered(
+        &mut self,
+        now: Duration,
+        kind: Kind,
+        running: &Running,
+        latency: Duration,
+    ) -> admission::Signal {
+        let seconds = latency.as_secs_f64();
+        self.classes.observe(now, running.job.class, latency);
+        if let Some(upstream) = self.upstreams.get_mut(&running.job.upstream) {
+            upstream.lane(kind).observe(seconds);
+        }
+        let no_load = self.classes.no_load(kind).unwrap_or(seconds);
+        admission::Signal::Answered(seconds / no_load)
+    }
+
+    fn forget_ended(&mut self, now: Duration) {
+        while let Some(ended) = self.ended.front()
+            && now.saturating_sub(ended.at) > RETRY_MEMORY
+        {
+            self.ended.pop_front();
+        }
+        if self.retries.len() > self.settings.queue {
+            self.retries.retain(|_, deadline| *deadline > now);
+        }
+    }
+}
+
+impl dispatch::Dispatcher for Dispatcher {
+    fn set_pool(&mut self, now: Duration, pool: &Arc<Resolved>) {
+        self.pool = pool.clone();
+        self.forget_removed();
+        for id in self.adopt() {
+            self.start_cold(now, id);
+        }
+        self.share();
+    }
+
+    fn place(&mut self, now: Duration, flow: Hash) -> Option<Placement> {
+        let members = match self.health.fails_open() {
+            true => &self.open,
+            false => &self.healthy,
+        };
+        let choice = placement::choose(
+            &self.settings.placement,
+            &self.pool.table,
+            members.ids(),
+            flow,
+            |id| self.room(now, members, id),
+        )?;
+        Some(Placement {
+            upstream: choice.upstream,
+            exception: choice.is_exception,
+        })
+    }
+
+    fn flow_opened(&mut self, upstream: UpstreamId) {
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            entry.flows += 1;
+            self.refresh(upstream);
+        }
+    }
+
+    fn flow_closed(&mut self, upstream: UpstreamId) {
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            entry.flows = entry.flows.saturating_sub(1);
+            self.refresh(upstream);
+        }
+    }
+
+    fn submit(&mut self, now: Duration, job: Job, verdicts: &mut Vec<Verdict>) {
+        let kind = self.classes.kind(job.class);
+        if let Err(max_age) = self.is_accepted(now, &job, kind) {
+            verdicts.push(Verdict::Refuse {
+                id: job.id,
+                max_age,
+            });
+            return;
+        }
+        let id = job.upstream;
+        self.jobs.insert(job.id, (id, kind));
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.lane(kind).push(job);
+        }
+        self.advance(now, id, verdicts);
+    }
+
+    fn finished(
+        &mut self,
+        now: Duration,
+        id: JobId,
+        result: JobResult,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        let Some((at, kind)) = self.jobs.remove(&id) else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.get_mut(&at) else {
+            return;
+        };
+        if let Some(running) = upstream.lane(kind).finish(id) {
+            self.settle(now, kind, &running, result);
+            if result != JobResult::Answered {
+                self.ended.push_back(Ended {
+                    at: now,
+                    job: running.job,
+                    result,
+                });
+            }
+        } else {
+            upstream.lane(kind).cancel(id);
+        }
+        self.advance(now, at, verdicts);
+    }
+
+    fn retry(&mut self, now: Duration, id: JobId) -> Option<Duration> {
+        let at = self.ended.iter().rposition(|ended| ended.job.id == id)?;
+        let Ended { job, result, .. } = self.ended.remove(at)?;
+        if result == JobResult::TimedOut && job.effect == Effect::NonIdempotent {
+            return None;
+        }
+        let pause = self
+            .budget
+            .backoff(now.saturating_sub(job.arrived), &mut self.random);
+        if now + pause >= job.deadline || !self.budget.withdraw() {
+            return None;
+        }
+        self.retries.insert((job.flow, job.arrived), job.deadline);
+        Some(now + pause)
+    }
+
+    fn tick(&mut self, now: Duration, verdicts: &mut Vec<Verdict>) {
+        let mut changes = Vec::new();
+        self.health.tick(now, &mut changes);
+        for change in changes {
+            self.apply(now, change);
+        }
+        let backlog: Vec<UpstreamId> = self.backlog.iter().copied().collect();
+        for id in backlog {
+            self.advance(now, id, verdicts);
+        }
+        self.forget_ended(now);
+    }
+
+    fn is_usable(&self, upstream: UpstreamId) -> bool {
+        self.can_serve(upstream)
+    }
+}
+
+fn long_slots(slots: u32) -> u32 {
+    slots.saturating_sub(1).max(1)
+}
+
+fn max_age(wait: f64) -> u32 {
+    (wait.ceil() as u32).clamp(1, 30)
+}
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,136 @@
+//! Requests of one kind, short or long, that wait for one upstream or run there.
+
+use {
+    crate::{
+        admission::Limit,
+        dispatch::{Job, JobId},
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Weight of the newest sample in the mean latency.
+const SMOOTHING: f64 = 0.1;
+
+/// A bounded queue with the limit that empties it.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    /// How many requests may run.
+    pub limit: Limit,
+    established: VecDeque<Job>,
+    new: VecDeque<Job>,
+    running: Vec<Running>,
+    latency: Option<f64>,
+}
+
+/// A request that was sent to its upstream.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The request.
+    pub job: Job,
+    /// Time of its dispatch.
+    pub since: Duration,
+}
+
+impl Lane {
+    /// Creates an empty lane.
+    pub fn new(limit: Limit) -> Lane {
+        Lane {
+            limit,
+            established: VecDeque::new(),
+            new: VecDeque::new(),
+            running: Vec::new(),
+            latency: None,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.established.len() + self.new.len()
+    }
+
+    /// Returns the number of requests that run.
+    pub fn in_flight(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Returns the estimated wait of a request that arrives now, in seconds.
+    pub fn wait(&self, now: Duration, job: &Job) -> f64 {
+        let ahead = match job.established {
+            true => self.established.len(),
+            false => self.waiting(),
+        };
+        if ahead == 0 && self.limit.allows(now, self.in_flight()) {
+            return 0.0;
+        }
+        let rate = self.limit.value(now);
+        (ahead as f64 + 1.0) * self.latency.unwrap_or(0.0) / rate
+    }
+
+    /// Appends a request; established flows go before new ones.
+    pub fn push(&mut self, job: Job) {
+        match job.established {
+            true => self.established.push_back(job),
+            false => self.new.push_back(job),
+        }
+    }
+
+    /// Takes the next request if the limit allows one more.
+    pub fn pop(&mut self, now: Duration) -> Option<Job> {
+        if !self.limit.allows(now, self.in_flight()) {
+            return None;
+        }
+        let established = self.established.pop_front();
+        established.or_else(|| self.new.pop_front())
+    }
+
+    /// Removes a waiting request and returns whether it was there.
+    pub fn cancel(&mut self, id: JobId) -> bool {
+        let before = self.waiting();
+        self.established.retain(|job| job.id != id);
+        self.new.retain(|job| job.id != id);
+        self.waiting() < before
+    }
+
+    /// Removes the waiting requests that `is_late` selects.
+    pub fn expire(&mut self, is_late: impl Fn(&Job) -> bool, late: &mut Vec<JobId>) {
+        for queue in [&mut self.established, &mut self.new] {
+            queue.retain(|job| {
+                let is_kept = !is_late(job);
+                if !is_kept {
+                    late.push(job.id);
+                }
+                is_kept
+            });
+        }
+    }
+
+    /// Records the dispatch of a request.
+    pub fn start(&mut self, now: Duration, job: Job) {
+        self.running.push(Running { job, since: now });
+    }
+
+    /// Ends a running request.
+    pub fn finish(&mut self, id: JobId) -> Option<Running> {
+        let at = self
+            .running
+            .iter()
+            .position(|running| running.job.id == id)?;
+        Some(self.running.swap_remove(at))
+    }
+
+    /// Takes the latency of an answered request into the mean.
+    pub fn observe(&mut self, seconds: f64) {
+        let mean = self.latency.unwrap_or(seconds);
+        self.latency = Some(mean + SMOOTHING * (seconds - mean));
+    }
+
+    /// Returns the mean latency, in seconds.
+    pub fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    /// Returns whether a running request was sent before `since`.
+    pub fn has_run_since(&self, since: Duration) -> bool {
+        self.running.iter().any(|running| running.since < since)
+    }
+}
