--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,3 @@
-//! Operator side.
+//! Administration API of skylarkflow and its client.
+
+pub mod wire;
