Check both tables together and report all findings

Cause: a wrong table reached the store, because nothing read the operators' YAML files. A tombstone lacks the fields that a route or pool requires, so that readers without tombstones skip it. Statuses of a store that is down or overloaded count as an unknown outcome. Ruled out: deserializing into the row types directly, because serde stops at the first error and then reports one finding per run; two routes on one pool, because their upstreams would be in two services. Before: with the comparison of services disabled, the case of an address that moves between services is accepted; with the code of addresses in two services dropped, that case is accepted too. Without the depth limit the nesting test still passes, because the YAML parser has a limit of its own. Conclusion: a table with findings is refused as a whole.

--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -42,11 +42,17 @@
         match self.code {
             Code::Version => Category::Conflict,
             Code::Transport(_) => Category::Unknown,
+            Code::Status(status) if is_transient(status) => Category::Unknown,
             Code::Status(_) => Category::Refused,
         }
     }
 }
 
+/// Statuses of a platform that is down or overloaded; a gateway may send them after the write has taken effect.
+fn is_transient(status: u16) -> bool {
+    status >= 500 || [408, 429].contains(&status)
+}
+
 impl From<Code> for Error {
     fn from(code: Code) -> Error {
         Error { code }
--- /dev/null
+++ b/crates/platform/src/table.rs
@@ -0,0 +1,344 @@
+//! The two tables that operators edit, with the place of every value.
+//!
+//! A table is read as far as possible: a row with a wrong value is kept without that value, so that one run of the
+//! check reports everything. See `docs/configuration.md`.
+
+use {
+    crate::{
+        finding::{Code, Finding},
+        node::{self, Node},
+    },
+    serde_saphyr::{Location, Spanned},
+    std::{
+        net::{SocketAddr, SocketAddrV4},
+        time::Duration,
+    },
+};
+
+/// Weight of an upstream whose row does not state one.
+const DEFAULT_WEIGHT: i128 = 1;
+
+/// A value that may be missing or wrong; the finding is then reported elsewhere.
+pub(crate) type Value<T> = Option<Spanned<T>>;
+
+/// A row of the table of routes.
+#[derive(Clone, Debug)]
+pub(crate) struct Route {
+    pub(crate) at: Location,
+    pub(crate) name: Value<String>,
+    pub(crate) address: Value<SocketAddr>,
+    pub(crate) pool: Value<String>,
+    pub(crate) deadline: Value<Duration>,
+}
+
+/// A row of the table of pools.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    pub(crate) at: Location,
+    pub(crate) name: Value<String>,
+    pub(crate) slots: Value<i128>,
+    pub(crate) connections: Value<i128>,
+    pub(crate) upstreams: Option<Vec<Upstream>>,
+}
+
+/// An upstream in a row of the table of pools.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) name: Value<String>,
+    pub(crate) address: Value<SocketAddr>,
+    pub(crate) zone: Value<String>,
+    pub(crate) weight: Value<i128>,
+    pub(crate) drain: Value<bool>,
+}
+
+/// A table as far as it can be read, and what is wrong with the rest.
+#[derive(Clone, Debug)]
+pub struct Table<T> {
+    pub(crate) file: String,
+    pub(crate) rows: Option<Vec<T>>,
+    pub(crate) findings: Vec<Finding>,
+}
+
+/// The routes of a file.
+#[derive(Clone, Debug)]
+pub struct Routes(pub(crate) Table<Route>);
+
+/// The pools of a file.
+#[derive(Clone, Debug)]
+pub struct Pools(pub(crate) Table<Pool>);
+
+impl Routes {
+    /// Reads the table of routes; `file` is its name in findings.
+    pub fn from_str(file: &str, text: &str) -> Routes {
+        Routes::from_slice(file, text.as_bytes())
+    }
+
+    /// Reads the table of routes; `file` is its name in findings.
+    pub fn from_slice(file: &str, bytes: &[u8]) -> Routes {
+        Routes(read(file, bytes, "routes", route))
+    }
+}
+
+impl Pools {
+    /// Reads the table of pools; `file` is its name in findings.
+    pub fn from_str(file: &str, text: &str) -> Pools {
+        Pools::from_slice(file, text.as_bytes())
+    }
+
+    /// Reads the table of pools; `file` is its name in findings.
+    pub fn from_slice(file: &str, bytes: &[u8]) -> Pools {
+        Pools(read(file, bytes, "pools", pool))
+    }
+}
+
+fn read<T>(
+    file: &str,
+    bytes: &[u8],
+    key: &str,
+    row: impl Fn(&mut Reader, Spanned<Node>) -> Option<T>,
+) -> Table<T> {
+    let mut reader = Reader {
+        file: file.to_owned(),
+        findings: Vec::new(),
+    };
+    let rows = match node::from_slice(file, bytes) {
+        Ok(root) => reader.rows(root, key, row),
+        Err(finding) => {
+            reader.findings.push(finding);
+            None
+        }
+    };
+    Table {
+        file: reader.file,
+        rows,
+        findings: reader.findings,
+    }
+}
+
+fn route(reader: &mut Reader, node: Spanned<Node>) -> Option<Route> {
+    let mut row = reader.mapping(node, "a route")?;
+    let route = Route {
+        at: row.at,
+        name: row.text(reader, "name"),
+        address: row.address(reader),
+        pool: row.text(reader, "pool"),
+        deadline: row.duration(reader, "deadline"),
+    };
+    row.end(reader);
+    Some(route)
+}
+
+fn pool(reader: &mut Reader, node: Spanned<Node>) -> Option<Pool> {
+    let mut row = reader.mapping(node, "a pool")?;
+    let name = row.text(reader, "name");
+    let slots = row.integer(reader, "slots");
+    let connections = row.integer(reader, "connections");
+    let upstreams = row.take(reader, "upstreams");
+    let upstreams = upstreams.and_then(|node| reader.list(node, "upstreams"));
+    let upstreams = upstreams.map(|nodes| {
+        let rows = nodes.into_iter();
+        rows.filter_map(|node| upstream(reader, node)).collect()
+    });
+    let at = row.at;
+    row.end(reader);
+    Some(Pool {
+        at,
+        name,
+        slots,
+        connections,
+        upstreams,
+    })
+}
+
+fn upstream(reader: &mut Reader, node: Spanned<Node>) -> Option<Upstream> {
+    let mut row = reader.mapping(node, "an upstream")?;
+    let upstream = Upstream {
+        name: row.text(reader, "name"),
+        address: row.address(reader),
+        zone: row.text(reader, "zone"),
+        weight: row.integer_or(reader, "weight", DEFAULT_WEIGHT),
+        drain: row.boolean_or(reader, "drain", false),
+    };
+    row.end(reader);
+    Some(upstream)
+}
+
+struct Reader {
+    file: String,
+    findings: Vec<Finding>,
+}
+
+/// The entries of a mapping that are not read yet.
+struct Row {
+    at: Location,
+    what: &'static str,
+    entries: Vec<(Spanned<String>, Spanned<Node>)>,
+}
+
+impl Reader {
+    fn report(&mut self, at: Location, code: Code, message: String) {
+        self.findings.push(Finding {
+            file: self.file.clone(),
+            line: at.line(),
+            column: at.column(),
+            code,
+            message,
+        });
+    }
+
+    fn wrong_type(&mut self, node: &Spanned<Node>, what: &str, expected: &str) {
+        let kind = node.value.kind();
+        let message = format!("{what} must be {expected}, not {kind}");
+        self.report(node.referenced, Code::WrongType, message);
+    }
+
+    fn rows<T>(
+        &mut self,
+        root: Spanned<Node>,
+        key: &str,
+        row: impl Fn(&mut Reader, Spanned<Node>) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let mut table = self.mapping(root, "the file")?;
+        let list = table.take(self, key);
+        table.end(self);
+        let list = self.list(list?, key)?;
+        let rows = list.into_iter();
+        Some(rows.filter_map(|node| row(self, node)).collect())
+    }
+
+    fn mapping(&mut self, node: Spanned<Node>, what: &'static str) -> Option<Row> {
+        let at = node.referenced;
+        match node.value {
+            Node::Mapping(entries) => Some(Row { at, what, entries }),
+            _ => {
+                self.wrong_type(&node, what, "a mapping");
+                None
+            }
+        }
+    }
+
+    fn list(&mut self, node: Spanned<Node>, key: &str) -> Option<Vec<Spanned<Node>>> {
+        match node.value {
+            Node::Sequence(items) => Some(items),
+            _ => {
+                self.wrong_type(&node, &format!("`{key}`"), "a list");
+                None
+            }
+        }
+    }
+}
+
+impl Row {
+    fn find(&mut self, key: &str) -> Option<Spanned<Node>> {
+        let position = self.entries.iter().position(|(name, _)| name.value == key);
+        position.map(|at| self.entries.swap_remove(at).1)
+    }
+
+    fn take(&mut self, reader: &mut Reader, key: &str) -> Option<Spanned<Node>> {
+        let node = self.find(key);
+        if node.is_none() {
+            let message = format!("{} has no `{key}`", self.what);
+            reader.report(self.at, Code::MissingKey, message);
+        }
+        node
+    }
+
+    fn text(&mut self, reader: &mut Reader, key: &str) -> Value<String> {
+        let node = self.take(reader, key)?;
+        let text = match &node.value {
+            Node::Text(text) => Some(text.clone()),
+            _ => None,
+        };
+        typed(reader, &node, key, "text", text)
+    }
+
+    fn integer(&mut self, reader: &mut Reader, key: &str) -> Value<i128> {
+        let node = self.take(reader, key)?;
+        typed(reader, &node, key, "an integer", node.value.integer())
+    }
+
+    fn integer_or(&mut self, reader: &mut Reader, key: &str, default: i128) -> Value<i128> {
+        let Some(node) = self.find(key) else {
+            return Some(Spanned::new(default, self.at, self.at));
+        };
+        typed(reader, &node, key, "an integer", node.value.integer())
+    }
+
+    fn boolean_or(&mut self, reader: &mut Reader, key: &str, default: bool) -> Value<bool> {
+        let Some(node) = self.find(key) else {
+            return Some(Spanned::new(default, self.at, self.at));
+        };
+        let value = match node.value {
+            Node::Bool(value) => Some(value),
+            _ => None,
+        };
+        typed(reader, &node, key, "true or false", value)
+    }
+
+    fn duration(&mut self, reader: &mut Reader, key: &str) -> Value<Duration> {
+        let text = self.text(reader, key)?;
+        match humantime::parse_duration(&text.value) {
+            Ok(value) => Some(Spanned::new(value, text.referenced, text.defined)),
+            Err(error) => {
+                let message = format!("`{key}` must be a duration such as `30s`: {error}");
+                reader.report(text.referenced, Code::WrongType, message);
+                None
+            }
+        }
+    }
+
+    fn address(&mut self, reader: &mut Reader) -> Value<SocketAddr> {
+        let text = self.text(reader, "address")?;
+        match address(&text.value) {
+            Ok(value) => Some(Spanned::new(value, text.referenced, text.defined)),
+            Err(reason) => {
+                let message = format!("`{}` {reason}", text.value);
+                reader.report(text.referenced, Code::Address, message);
+                None
+            }
+        }
+    }
+
+    fn end(self, reader: &mut Reader) {
+        for (key, _) in self.entries {
+            let message = format!("{} has no key `{}`", self.what, key.value);
+            reader.report(key.referenced, Code::UnknownKey, message);
+        }
+    }
+}
+
+impl Node {
+    fn integer(&self) -> Option<i128> {
+        match self {
+            Node::Integer(value) => Some(*value),
+            _ => None,
+        }
+    }
+}
+
+fn typed<T>(
+    reader: &mut Reader,
+    node: &Spanned<Node>,
+    key: &str,
+    expected: &str,
+    value: Option<T>,
+) -> Value<T> {
+    if value.is_none() {
+        reader.wrong_type(node, &format!("`{key}`"), expected);
+    }
+    value.map(|value| Spanned::new(value, node.referenced, node.defined))
+}
+
+/// The fabric's PROXY protocol headers carry IPv4 addresses only.
+fn address(text: &str) -> Result<SocketAddr, &'static str> {
+    let parsed: Result<SocketAddrV4, _> = text.parse();
+    let address = parsed.map_err(|_| "is not an IPv4 address and port such as `10.0.0.5:5683`")?;
+    let ip = address.ip();
+    if ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
+        return Err("is not the address of one host");
+    }
+    if address.port() == 0 {
+        return Err("has port 0");
+    }
+    Ok(address.into())
+}
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -12,6 +12,9 @@
 /// Prefix of the keys of pools.
 pub const POOL_PREFIX: &str = "pools/";
 
+/// Identifier of one edit, unique over all operators; tells whether a write whose answer was lost took effect.
+pub type EditId = String;
+
 /// An object of the store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Object {
@@ -60,6 +63,9 @@
     /// Longest time from a request's arrival to its answer.
     #[serde(with = "humantime_serde")]
     pub deadline: Duration,
+    /// Edit that wrote the value.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit: Option<EditId>,
 }
 
 /// Value of a pool object.
@@ -75,6 +81,42 @@
     pub connections: u32,
     /// Upstreams in the order of the table.
     pub upstreams: Vec<Upstream>,
+    /// Edit that wrote the value.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit: Option<EditId>,
+}
+
+/// Value of a removed route or pool.
+///
+/// The key stays in the store, so that a balancer that was away for the removal still learns of it and a later
+/// addition gets a higher generation. It lacks the fields that a [`Route`] or [`Pool`] requires, so that a reader
+/// without tombstones skips it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tombstone {
+    /// Name of the removed route or pool.
+    pub name: String,
+    /// Version of the value.
+    pub generation: Generation,
+    /// Always `true`.
+    pub removed: Removed,
+    /// Edit that wrote the value.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub edit: Option<EditId>,
+}
+
+/// The value `true` of the field `removed`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(try_from = "bool", into = "bool")]
+pub struct Removed;
+
+/// Value of the key of a route or pool.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Entry<T> {
+    /// The object was removed.
+    Removed(Tombstone),
+    /// The object is in use.
+    Present(T),
 }
 
 /// An upstream in a pool object.
@@ -92,6 +134,34 @@
     pub drain: bool,
 }
 
+impl TryFrom<bool> for Removed {
+    type Error = &'static str;
+
+    fn try_from(removed: bool) -> Result<Removed, &'static str> {
+        if removed {
+            Ok(Removed)
+        } else {
+            Err("`removed` is true or absent")
+        }
+    }
+}
+
+impl From<Removed> for bool {
+    fn from(_: Removed) -> bool {
+        true
+    }
+}
+
+impl<T> Entry<T> {
+    /// Returns the object unless it was removed.
+    pub fn present(self) -> Option<T> {
+        match self {
+            Entry::Removed(_) => None,
+            Entry::Present(object) => Some(object),
+        }
+    }
+}
+
 impl From<Route> for config::Route {
     fn from(wire: Route) -> config::Route {
         let Route {
@@ -100,6 +170,7 @@
             address,
             pool,
             deadline,
+            edit: _,
         } = wire;
         config::Route {
             name,
