Give the emulated platform faults and call counts

Cause: tests could not take the store down, slow it, lose its answers or restore it, and a watch woke at every write of any prefix. Ruled out: a lost answer that closes the connection, because a client sees that at once; the call stays unanswered until the client gives up.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod caller;
 pub mod fabric;
+pub mod fault;
+pub mod objects;
 pub mod platform;
 pub mod socket;
 pub mod upstream;
