Write the tables conditionally and settle lost answers

Cause: operators had no way to write the tables to the store. Change: a plan compares the tables with the store and orders the writes; a writer makes each write conditional on the version and reads back after a lost answer; the generation is one above the highest that the store, a balancer or the operator's base has. A base of seen generations makes an edit conflict that came before this operator's run, not only during it. Ruled out: the store's version as the order of edits, because a restored store counts its versions again; one object for both tables, because two operators would always conflict. Before: without reading back, the lost answer ends as a conflict of the operator with himself; with unconditional writes the second operator's edit replaces the first; without the base, the stale table reverts the other edit; without the generations in force, the edit after a restoration gets generation 2 while 3 is in force; without retries, the short outage fails the apply; without the comparison of values, the second run raises generations again; with routes first, the order test fails. Conclusion: an interrupted apply is completed by a second run.

--- /dev/null
+++ b/crates/platform/src/apply.rs
@@ -0,0 +1,158 @@
+//! Conditional writes of a plan.
+//!
+//! Every write names the version that the plan was made from, and carries the edit id. If the answer is lost, the
+//! object is read back: its edit id tells whether the write took effect, so that an edit raises the generation once.
+
+use {
+    crate::{
+        difference,
+        error::{Category, Error, Result},
+        plan::{self, Conflict, Current, Generations, Plan, Step},
+        store::Store,
+        wire::{POOL_PREFIX, ROUTE_PREFIX},
+    },
+    log::warn,
+    serde_json::Value,
+    std::{future::Future, time::Duration},
+    tokio::time::{self, Instant},
+};
+
+/// Wait before the first retry.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Longest wait between two tries.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Writes plans to a store.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    store: Store,
+    end: Instant,
+}
+
+/// What an apply has done.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Generations that were written.
+    pub written: Generations,
+    /// Keys that were not written.
+    pub missing: Vec<String>,
+    /// The object that somebody else changed meanwhile.
+    pub conflict: Option<Conflict>,
+    /// Why the apply stopped early.
+    pub error: Option<Error>,
+}
+
+/// What is known about one write.
+enum Settled {
+    Written,
+    Conflict(Conflict),
+}
+
+impl Writer {
+    /// Creates a writer that gives up after `limit`.
+    pub fn new(store: Store, limit: Duration) -> Writer {
+        Writer {
+            store,
+            end: Instant::now() + limit,
+        }
+    }
+
+    /// Reads the objects that the tables describe.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer within the limit.
+    pub async fn read(&self) -> Result<Current> {
+        let pools = self.retry(|| self.store.list(POOL_PREFIX)).await?;
+        let routes = self.retry(|| self.store.list(ROUTE_PREFIX)).await?;
+        Ok(Current::new([pools, routes]))
+    }
+
+    /// Writes the steps of a plan in their order and stops at the first that fails. A second run completes it.
+    pub async fn apply(&self, plan: &Plan, edit: &str) -> Outcome {
+        let mut outcome = Outcome::default();
+        for step in plan.writes() {
+            if outcome.is_stopped() {
+                outcome.missing.push(step.key.clone());
+                continue;
+            }
+            match self.write(step, edit).await {
+                Ok(Settled::Written) => {
+                    outcome.written.insert(step.key.clone(), step.generation);
+                }
+                Ok(Settled::Conflict(conflict)) => outcome.conflict = Some(conflict),
+                Err(error) => outcome.error = Some(error),
+            }
+            if outcome.is_stopped() {
+                outcome.missing.push(step.key.clone());
+            }
+        }
+        outcome
+    }
+
+    async fn write(&self, step: &Step, edit: &str) -> Result<Settled> {
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            let answer = self.store.put(&step.key, &step.value, step.version).await;
+            let error = match answer {
+                Ok(_) => return Ok(Settled::Written),
+                Err(error) if error.category() == Category::Refused => return Err(error),
+                Err(error) => error,
+            };
+            if let Some(settled) = self.settle(step, edit).await? {
+                return Ok(settled);
+            }
+            self.wait(error, &mut backoff).await?;
+        }
+    }
+
+    /// Reads an object back after a write without a usable answer; `None` if the write had no effect so far.
+    async fn settle(&self, step: &Step, edit: &str) -> Result<Option<Settled>> {
+        let object = self.retry(|| self.store.get(&step.key)).await?;
+        let version = object.as_ref().map_or(0, |object| object.version);
+        let value = object.map_or(Value::Null, |object| object.value);
+        if plan::is_edit(&value, edit) {
+            return Ok(Some(Settled::Written));
+        }
+        if version == step.version {
+            return Ok(None);
+        }
+        Ok(Some(Settled::Conflict(Conflict {
+            key: step.key.clone(),
+            generation: plan::generation(&value),
+            fields: difference::fields(&step.value, &value),
+        })))
+    }
+
+    async fn retry<T, F: Future<Output = Result<T>>>(&self, call: impl Fn() -> F) -> Result<T> {
+        let mut backoff = FIRST_BACKOFF;
+        loop {
+            match call().await {
+                Err(error) if error.category() == Category::Unknown => {
+                    self.wait(error, &mut backoff).await?;
+                }
+                answer => return answer,
+            }
+        }
+    }
+
+    /// Waits with jitter before the next try, so that operators whose store comes back do not call all at once.
+    async fn wait(&self, error: Error, backoff: &mut Duration) -> Result<()> {
+        let pause = backoff.mul_f64(rand::random_range(0.5..1.0));
+        if Instant::now() + pause >= self.end {
+            return Err(error);
+        }
+        warn!("{error}; trying again in {} ms", pause.as_millis());
+        time::sleep(pause).await;
+        *backoff = LONGEST_BACKOFF.min(*backoff * 2);
+        Ok(())
+    }
+}
+
+impl Outcome {
+    /// Returns whether something is left to do.
+    pub fn is_stopped(&self) -> bool {
+        self.conflict.is_some() || self.error.is_some()
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,12 +1,17 @@
 //! Client of the platform's object store and VM list, and the two tables that operators edit.
 //!
 //! [`wire`] holds the JSON types of the store's HTTP API and of the configuration objects, [`store`] the client.
-//! [`table`] reads the tables, [`check`](mod@check) reports everything that is wrong with them as [`finding`]s.
+//! [`table`] reads the tables, [`check`](mod@check) reports everything that is wrong with them as [`finding`]s,
+//! [`plan`](mod@plan) compares them with the store and [`apply`](mod@apply) writes the difference. See
+//! `docs/design.md`, section 9.
 
+pub mod apply;
 pub mod check;
+pub mod difference;
 pub mod error;
 pub mod finding;
 mod node;
+pub mod plan;
 pub mod store;
 pub mod table;
 pub mod wire;
--- /dev/null
+++ b/crates/platform/src/plan.rs
@@ -0,0 +1,321 @@
+//! Comparison of the tables with the store: what an apply will write.
+
+use {
+    crate::{
+        check::Tables,
+        difference::{self, Field},
+        wire::{EditId, Entry, Listing, Object, POOL_PREFIX, ROUTE_PREFIX, Removed, Tombstone},
+    },
+    derive_more::Display,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::Value,
+    skylarkflow_policy::id::Generation,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt,
+    },
+};
+
+/// Generations by key.
+pub type Generations = BTreeMap<String, Generation>;
+
+/// What happens to an object.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize)]
+#[display(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase")]
+pub enum Action {
+    /// The key is new.
+    Create,
+    /// The value changes.
+    Update,
+    /// The value becomes a tombstone.
+    Delete,
+    /// The store has the value already.
+    Unchanged,
+}
+
+/// One object of a plan.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Step {
+    /// Key in the store.
+    pub key: String,
+    /// What happens to it.
+    pub action: Action,
+    /// Generation of the new value.
+    pub generation: Generation,
+    /// Version of the object that the plan was made from; 0 if there was none.
+    pub version: u64,
+    /// Fields that change.
+    pub fields: Vec<Field>,
+    /// The new value.
+    #[serde(skip)]
+    pub value: Value,
+}
+
+/// An object that somebody else has changed since this operator last saw it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Conflict {
+    /// Key in the store.
+    pub key: String,
+    /// Generation in the store.
+    pub generation: Generation,
+    /// Fields that differ between the operator's table and the store.
+    pub fields: Vec<Field>,
+}
+
+/// What an apply will write, in this order: pools before the routes that name them, and removals of routes before
+/// those of their pools, so that no route in force ever names a missing pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Plan {
+    /// Objects in the order of their writes.
+    pub steps: Vec<Step>,
+    /// Objects that are not written until the operator has seen the other edit.
+    pub conflicts: Vec<Conflict>,
+}
+
+/// What a plan depends on besides the tables and the store.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Identifier of this edit.
+    pub edit: EditId,
+    /// Highest generation in force on the balancers that were asked.
+    pub in_force: Generations,
+    /// Generations that the operator's tables are based on; `None` if that is not known.
+    pub base: Option<Generations>,
+    /// Generations of other operators' edits that are to be replaced knowingly.
+    pub replace: Generations,
+}
+
+/// The objects of the store that the tables describe.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    objects: BTreeMap<String, Object>,
+}
+
+/// The part of a value that routes, pools and tombstones have in common.
+#[derive(Default, Deserialize)]
+struct Header {
+    #[serde(default)]
+    generation: Generation,
+    #[serde(default)]
+    edit: Option<EditId>,
+    #[serde(default)]
+    removed: bool,
+}
+
+impl Current {
+    /// Collects the answers to the lists of both prefixes.
+    pub fn new(listings: impl IntoIterator<Item = Listing>) -> Current {
+        let objects = listings.into_iter().flat_map(|listing| listing.objects);
+        Current {
+            objects: objects.map(|object| (object.key.clone(), object)).collect(),
+        }
+    }
+
+    /// Returns the objects under `prefix` that are in use and well formed.
+    pub fn present<T: DeserializeOwned>(&self, prefix: &str) -> Vec<T> {
+        let objects = self.objects.values();
+        let matching = objects.filter(|object| object.key.starts_with(prefix));
+        matching
+            .filter_map(|object| Entry::<T>::deserialize(&object.value).ok()?.present())
+            .collect()
+    }
+
+    /// Returns the generation of each object.
+    pub fn generations(&self) -> Generations {
+        let objects = self.objects.iter();
+        objects
+            .map(|(key, object)| (key.clone(), generation(&object.value)))
+            .collect()
+    }
+}
+
+/// Returns the generation of a value; 0 if it has none.
+pub fn generation(value: &Value) -> Generation {
+    header(value).generation
+}
+
+/// Returns whether `edit` wrote the value.
+pub fn is_edit(value: &Value, edit: &str) -> bool {
+    header(value).edit.as_deref() == Some(edit)
+}
+
+fn header(value: &Value) -> Header {
+    Header::deserialize(value).unwrap_or_default()
+}
+
+/// Compares the tables with the store.
+pub fn plan(tables: &Tables, current: &Current, settings: &Settings) -> Plan {
+    let mut planner = Planner {
+        current,
+        settings,
+        plan: Plan::default(),
+    };
+    let pools = tables.pools.iter();
+    let pools: BTreeMap<String, Value> = pools
+        .map(|pool| (format!("{POOL_PREFIX}{}", pool.name), json(pool)))
+        .collect();
+    let routes = tables.routes.iter();
+    let routes: BTreeMap<String, Value> = routes
+        .map(|route| (format!("{ROUTE_PREFIX}{}", route.name), json(route)))
+        .collect();
+    for (key, value) in pools.iter().chain(&routes) {
+        planner.put(key, value);
+    }
+    planner.remove_all(ROUTE_PREFIX, &routes);
+    planner.remove_all(POOL_PREFIX, &pools);
+    planner.plan
+}
+
+struct Planner<'a> {
+    current: &'a Current,
+    settings: &'a Settings,
+    plan: Plan,
+}
+
+impl Planner<'_> {
+    fn put(&mut self, key: &str, value: &Value) {
+        let Some(object) = self.current.objects.get(key) else {
+            return self.push(key, Action::Create, value.clone());
+        };
+        if header(&object.value).removed {
+            return self.push(key, Action::Create, value.clone());
+        }
+        let same = difference::is_same(value, &object.value);
+        if same && self.in_force(key) <= generation(&object.value) {
+            self.unchanged(key, object);
+        } else {
+            self.push(key, Action::Update, value.clone());
+        }
+    }
+
+    fn remove_all(&mut self, prefix: &str, tables: &BTreeMap<String, Value>) {
+        let stored = self.current.objects.keys();
+        let in_force = self.settings.in_force.keys();
+        let keys: BTreeSet<&String> = stored
+            .chain(in_force)
+            .filter(|key| key.starts_with(prefix) && !tables.contains_key(*key))
+            .collect();
+        for key in keys {
+            self.remove(key, &key[prefix.len()..]);
+        }
+    }
+
+    fn remove(&mut self, key: &str, name: &str) {
+        let object = self.current.objects.get(key);
+        let removed = object.filter(|object| header(&object.value).removed);
+        if let Some(object) = removed
+            && self.in_force(key) <= generation(&object.value)
+        {
+            return;
+        }
+        let tombstone = Tombstone {
+            name: name.to_owned(),
+            generation: 0,
+            removed: Removed,
+            edit: None,
+        };
+        self.push(key, Action::Delete, json(&tombstone));
+    }
+
+    fn in_force(&self, key: &str) -> Generation {
+        self.settings.in_force.get(key).copied().unwrap_or(0)
+    }
+
+    /// The highest generation that anybody may have adopted. The base counts too: a store that was restored to an
+    /// older state has lost generations that balancers may still have.
+    fn highest(&self, key: &str) -> Generation {
+        let object = self.current.objects.get(key);
+        let stored = object.map_or(0, |object| generation(&object.value));
+        let base = self.settings.base.as_ref();
+        let base = base.and_then(|base| base.get(key)).copied().unwrap_or(0);
+        stored.max(base).max(self.in_force(key))
+    }
+
+    fn push(&mut self, key: &str, action: Action, mut value: Value) {
+        let object = self.current.objects.get(key);
+        let before = object.map_or(&Value::Null, |object| &object.value);
+        let fields = difference::fields(&value, before);
+        if let Some(conflict) = self.conflict(key, before, &fields) {
+            self.plan.conflicts.push(conflict);
+            return;
+        }
+        let generation = self.highest(key).saturating_add(1);
+        value["generation"] = generation.into();
+        value["edit"] = self.settings.edit.clone().into();
+        self.plan.steps.push(Step {
+            key: key.to_owned(),
+            action,
+            generation,
+            version: object.map_or(0, |object| object.version),
+            fields,
+            value,
+        });
+    }
+
+    fn conflict(&self, key: &str, before: &Value, fields: &[Field]) -> Option<Conflict> {
+        let generation = generation(before);
+        let base = self.settings.base.as_ref()?;
+        let seen = base.get(key).copied().unwrap_or(0);
+        let replaced = self.settings.replace.get(key) == Some(&generation);
+        (generation > seen && !replaced).then(|| Conflict {
+            key: key.to_owned(),
+            generation,
+            fields: fields.to_vec(),
+        })
+    }
+
+    fn unchanged(&mut self, key: &str, object: &Object) {
+        self.plan.steps.push(Step {
+            key: key.to_owned(),
+            action: Action::Unchanged,
+            generation: generation(&object.value),
+            version: object.version,
+            fields: Vec::new(),
+            value: object.value.clone(),
+        });
+    }
+}
+
+fn json(value: &impl Serialize) -> Value {
+    serde_json::to_value(value).unwrap_or_default()
+}
+
+impl Plan {
+    /// Returns the steps that write something.
+    pub fn writes(&self) -> impl Iterator<Item = &Step> {
+        let steps = self.steps.iter();
+        steps.filter(|step| step.action != Action::Unchanged)
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Step {
+            key,
+            action,
+            generation,
+            ..
+        } = self;
+        write!(formatter, "{action} {key} generation {generation}")
+    }
+}
+
+impl fmt::Display for Conflict {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Conflict {
+            key, generation, ..
+        } = self;
+        write!(
+            formatter,
+            "{key} was changed by somebody else (generation {generation})"
+        )?;
+        for field in &self.fields {
+            write!(formatter, "\n  {field}")?;
+        }
+        write!(
+            formatter,
+            "\n  take the store's values over into the table, or replace them with --replace {key}@{generation}"
+        )
+    }
+}
