--- /dev/null
+++ b/crates/policy/src/admit.rs
@@ -0,0 +1,380 @@
+//! From a request's arrival to its submission.
+
+use {
+    crate::{
+        config::{Resolved, Snapshot},
+        context::Context,
+        dedupe::{Found, QUARANTINE},
+        dispatch::Dispatcher,
+        event::{Doubt, Drop, Note, Refusal},
+        exchange::{Body, EMPTY_ACK, Effect, Exchange, Kind, Received, Request},
+        flow::{Entry, Key, shard_index},
+        history::Trace,
+        id::UpstreamId,
+        shard::{Held, Live, Shard},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time for which a request of a handed over flow is not placed anew although its upstream is not in the tables.
+///
+/// The previous owner may have had newer tables; the bound on differing tables is 3 s.
+const TABLES_LAG: Duration = Duration::from_secs(5);
+
+/// Max-Age of a refusal without a better estimate, in seconds.
+const MAX_AGE: u32 = 1;
+
+/// Who holds a flow.
+enum Standing {
+    /// This balancer, or nobody.
+    Here(Trace),
+    /// Possibly one of these.
+    Elsewhere(Trace),
+    /// Another balancer, which is the owner.
+    Gone,
+}
+
+impl Context<'_> {
+    pub(crate) fn request(&mut self, fabric: SocketAddr, key: Key, request: Request) {
+        let core = self.core;
+        let mut shard = core.shards.lock(shard_index(&key));
+        let held = Held {
+            fabric,
+            key,
+            request,
+            arrived: self.now,
+        };
+        self.admit(&mut shard, held);
+    }
+
+    fn admit(&mut self, shard: &mut Shard, held: Held) {
+        let key = held.key;
+        if self.route(&key).is_none() {
+            return self.drop_datagram(key, Drop::UnknownService);
+        }
+        if let Some(claim) = shard.claims.get_mut(&key) {
+            if !claim.hold(held) {
+                self.drop_datagram(key, Drop::Full);
+            }
+            return;
+        }
+        match self.standing(shard, &key) {
+            Standing::Here(trace) => self.take(shard, held, trace, None),
+            Standing::Elsewhere(trace) => self.start_claim(shard, held, &trace),
+            Standing::Gone => self.drop_datagram(key, Drop::NotOwner),
+        }
+    }
+
+    pub(crate) fn drop_datagram(&mut self, key: Key, reason: Drop) {
+        self.note(Note::Dropped { key, reason });
+    }
+
+    fn standing(&self, shard: &Shard, key: &Key) -> Standing {
+        let is_own = self.is_own(key);
+        if let Some(entry) = shard.flows.get(key)
+            && entry.term == self.history.term()
+        {
+            let is_held = is_own || entry.view == self.history.number();
+            return match is_held {
+                true => Standing::Here(Trace::default()),
+                false => Standing::Gone,
+            };
+        }
+        let trace = self.trace(shard, key, is_own);
+        match trace.ask.is_empty() {
+            true => Standing::Here(trace),
+            false => Standing::Elsewhere(trace),
+        }
+    }
+
+    /// Returns who may hold a flow that this balancer does not.
+    pub(crate) fn trace(&self, shard: &Shard, key: &Key, is_own: bool) -> Trace {
+        let own = self.core.id();
+        let mut trace = self.history.trace(self.now, key.hash(), own);
+        if let Some(moved) = shard.moved.get(key) {
+            match self.history.reaches(self.now, moved.to) {
+                true => trace.ask.push(moved.to),
+                false => {
+                    let until = moved.used + QUARANTINE;
+                    trace.quarantined_until = trace.quarantined_until.max(until);
+                }
+            }
+        }
+        // A datagram that was passed on to a balancer that does not own the flow comes from one with a newer view.
+        let owner = self.history.current().decide(key.hash()).balancer();
+        trace.ask.extend(owner.filter(|_| !is_own));
+        trace.ask.retain(|&id| id != own);
+        trace
+    }
+
+    /// Serves a request of a flow that nobody else holds.
+    pub(crate) fn take(
+        &mut self,
+        shard: &mut Shard,
+        held: Held,
+        trace: Trace,
+        copy: Option<UpstreamId>,
+    ) {
+        let key = held.key;
+        if shard.flows.get(&key).is_none() {
+            if !shard.flows.has_room() {
+                return self.refuse_new(shard, held);
+            }
+            let entry = self.new_entry(shard, &key, trace.quarantined_until, copy);
+            shard.flows.insert(key, entry);
+        }
+        self.refresh(shard, &held, trace.quarantined_until);
+        self.serve(shard, held);
+    }
+
+    fn refuse_new(&mut self, shard: &mut Shard, held: Held) {
+        let body = Body::NotRun { max_age: MAX_AGE };
+        self.drop_datagram(held.key, Drop::Full);
+        self.reply(shard, held.fabric, held.key, &held.request, body);
+    }
+
+    fn new_entry(
+        &mut self,
+        shard: &mut Shard,
+        key: &Key,
+        quarantined_until: Duration,
+        copy: Option<UpstreamId>,
+    ) -> Entry {
+        let moved = shard.moved.remove(key);
+        let epoch = moved.as_ref().map_or(0, |moved| moved.epoch + 1);
+        let kept = moved.and_then(|moved| moved.record?.upstream);
+        let replica = shard.replicas.remove(key).map(|replica| replica.upstream);
+        let is_taken_over = quarantined_until > self.now;
+        let guess = match is_taken_over {
+            true => self.former_default(key),
+            false => None,
+        };
+        let upstream = copy.or(replica).or(kept).or(guess);
+        self.count_opened(key, upstream);
+        if is_taken_over {
+            self.note(Note::Quarantined {
+                key: *key,
+                until: quarantined_until,
+            });
+        }
+        Entry {
+            fabric: None,
+            upstream,
+            seen: self.now,
+            acquired: self.now,
+            quarantined_until,
+            copy: 0,
+            epoch,
+            view: self.history.number(),
+            term: self.history.term(),
+            established: upstream.is_some(),
+            acting: self.history.is_acting(key.hash()),
+            known: true,
+        }
+    }
+
+    /// Returns the default upstream by the tables that a crashed owner had, if they may differ from the present ones.
+    fn former_default(&self, key: &Key) -> Option<UpstreamId> {
+        let tables = self.config.oldest_within(self.now, TABLES_LAG)?;
+        default_upstream(tables, key)
+    }
+
+    fn refresh(&self, shard: &mut Shard, held: &Held, quarantined_until: Duration) {
+        let is_acting = self.history.is_acting(held.key.hash());
+        let Some(entry) = shard.flows.get_mut(&held.key) else {
+            return;
+        };
+        if entry.acting && !is_acting {
+            // The home zone is gone for good; it may have served the flow until now.
+            entry.quarantined_until = self.now + QUARANTINE;
+        }
+        entry.acting = is_acting;
+        entry.quarantined_until = entry.quarantined_until.max(quarantined_until);
+        entry.term = self.history.term();
+        entry.fabric = Some(held.fabric);
+        entry.seen = self.now;
+    }
+
+    /// Handles a request of a flow that this balancer holds.
+    fn serve(&mut self, shard: &mut Shard, held: Held) {
+        let Held {
+            fabric,
+            key,
+            request,
+            arrived,
+        } = held;
+        let window = shard.windows.entry(key).or_default();
+        window.expire(self.now, &self.core.cache);
+        let body = match window.find(request.message_id, request.token) {
+            Found::New => None,
+            Found::Evicted if request.effect == Effect::Idempotent => None,
+            Found::Evicted => Some(self.evicted(key, &request)),
+            Found::Answered(body) => Some(body),
+            Found::Conflict => Some(Body::NotRun { max_age: MAX_AGE }),
+            Found::InFlight(first) => return self.remind(shard, fabric, key, &request, first),
+        };
+        match body {
+            Some(body) => self.reply(shard, fabric, key, &request, body),
+            None => self.begin(shard, fabric, key, request, arrived),
+        }
+    }
+
+    fn evicted(&mut self, key: Key, request: &Request) -> Body {
+        self.note(Note::Unknown {
+            key,
+            message_id: request.message_id,
+            reason: Doubt::Evicted,
+        });
+        Body::Unknown
+    }
+
+    /// Repeats the empty ACK of a request in flight.
+    fn remind(
+        &mut self,
+        shard: &mut Shard,
+        fabric: SocketAddr,
+        key: Key,
+        request: &Request,
+        first: Duration,
+    ) {
+        let is_due = self.now >= first + EMPTY_ACK;
+        if is_due && request.kind == Kind::Confirmable {
+            self.reply(shard, fabric, key, request, Body::Empty);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        shard: &mut Shard,
+        fabric: SocketAddr,
+        key: Key,
+        request: Request,
+        arrived: Duration,
+    ) {
+        let Some(route) = self.route(&key) else {
+            return;
+        };
+        let window = shard.windows.entry(key).or_default();
+        window.open(arrived, request.message_id, request.token, request.effect);
+        let entry = shard.flows.get(&key);
+        let doubt = entry.and_then(|entry| self.doubt(entry, request.effect));
+        let exchange = Exchange {
+            id: shard.next_id(),
+            fabric,
+            key,
+            route,
+            request,
+            arrived,
+            term: self.history.term(),
+            is_acknowledged: false,
+            stage: Received {
+                upstream: None,
+                not_before: Duration::MAX,
+            },
+        };
+        match doubt {
+            Some(reason) => self.finish_unknown(shard, exchange, reason),
+            None => self.submit(shard, exchange),
+        }
+    }
+
+    /// Hands a request to the dispatcher of its pool.
+    pub(crate) fn submit(&mut self, shard: &mut Shard, exchange: Exchange<Received>) {
+        let pool_id = exchange.route.pool_id();
+        let Some(pool) = self.pool(pool_id) else {
+            return self.finish_refused(shard, exchange, MAX_AGE, Refusal::NoUpstream);
+        };
+        let mut dispatcher = pool.lock();
+        let Some(upstream) = self.upstream(shard, &exchange, &mut **dispatcher) else {
+            std::mem::drop(dispatcher);
+            return self.without_upstream(shard, exchange);
+        };
+        let entry = shard.flows.get(&exchange.key);
+        let established = entry.is_none_or(|entry| entry.established);
+        let id = shard.next_id();
+        let exchange = exchange.queue(id, upstream);
+        let job = exchange.job(established);
+        shard.put(id, Live::Queued(exchange));
+        let mut verdicts = Vec::new();
+        dispatcher.submit(self.now, job, &mut verdicts);
+        self.collect(pool_id, verdicts);
+    }
+
+    fn without_upstream(&mut self, shard: &mut Shard, exchange: Exchange<Received>) {
+        let key = exchange.key;
+        if !self.awaits_tables(shard, &key) {
+            return self.finish_refused(shard, exchange, MAX_AGE, Refusal::NoUpstream);
+        }
+        // The caller retransmits, and the request is new again then.
+        if let Some(window) = shard.windows.get_mut(&key) {
+            window.forget(exchange.request.message_id);
+        }
+        self.drop_datagram(key, Drop::UnknownUpstream);
+    }
+
+    /// Returns whether the upstream of a handed over flow may still appear in the tables.
+    fn awaits_tables(&self, shard: &Shard, key: &Key) -> bool {
+        let entry = shard.flows.get(key);
+        entry.is_some_and(|entry| !entry.known && self.now < entry.acquired + TABLES_LAG)
+    }
+
+    fn upstream(
+        &mut self,
+        shard: &mut Shard,
+        exchange: &Exchange<Received>,
+        dispatcher: &mut dyn Dispatcher,
+    ) -> Option<UpstreamId> {
+        let key = exchange.key;
+        let awaits_tables = self.awaits_tables(shard, &key);
+        let Some(entry) = shard.flows.get_mut(&key) else {
+            // The flow has moved; its request is finished here, at the same upstream or not at all.
+            return exchange.stage.upstream;
+        };
+        if let Some(upstream) = entry.upstream {
+            if dispatcher.is_usable(upstream) {
+                entry.known = true;
+                return Some(upstream);
+            }
+            if awaits_tables {
+                return None;
+            }
+        }
+        let placement = dispatcher.place(self.now, key.hash())?;
+        let upstream = placement.upstream;
+        let from = entry.upstream.replace(upstream);
+        entry.known = true;
+        entry.copy = 0;
+        if let Some(from) = from {
+            dispatcher.flow_closed(from);
+        }
+        dispatcher.flow_opened(upstream);
+        self.note(match from {
+            Some(from) => Note::Replaced {
+                key,
+                from,
+                to: upstream,
+            },
+            None => Note::Opened {
+                key,
+                upstream,
+                exception: placement.exception,
+            },
+        });
+        if self.is_exception(&key, upstream) {
+            self.core.machine().copies.push_back(key);
+        }
+        Some(upstream)
+    }
+
+    /// Returns whether another balancer could not derive the upstream of a flow from its tables.
+    pub(crate) fn is_exception(&self, key: &Key, upstream: UpstreamId) -> bool {
+        let mut tables = self.config.within(self.now, 2 * TABLES_LAG);
+        tables.any(|tables| default_upstream(tables, key) != Some(upstream))
+    }
+}
+
+fn default_upstream(tables: &Snapshot, key: &Key) -> Option<UpstreamId> {
+    let route = tables.routes.get(&key.service)?;
+    let pool: &Arc<Resolved> = tables.pools.get(&route.pool_id())?;
+    pool.table.get(key.hash())
+}
--- /dev/null
+++ b/crates/policy/src/answer.rs
@@ -0,0 +1,320 @@
+//! From a dispatch to the answer.
+
+use {
+    crate::{
+        context::Context,
+        dispatch::{JobId, JobResult},
+        event::{Action, Doubt, Note, Refusal},
+        exchange::{
+            ACK_TIMEOUT, Body, Dispatched, Effect, Exchange, Finished, Kind, Outcome, Queued,
+            Received, Response, Token,
+        },
+        flow::{Key, shard_index},
+        id::{PoolId, UpstreamId},
+        shard::{Live, Shard},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Delay before a request is submitted again whose upstream has just been removed.
+const RESUBMIT: Duration = Duration::from_millis(50);
+
+/// Max-Age of a refusal without a better estimate, in seconds.
+const MAX_AGE: u32 = 1;
+
+impl Context<'_> {
+    /// Dispatches a job that has got a slot.
+    pub(crate) fn start(&mut self, pool: PoolId, id: JobId) {
+        let core = self.core;
+        let mut shard = core.shards.lock(id as usize);
+        match shard.live.remove(&id) {
+            Some(Live::Queued(exchange)) => self.dispatch(&mut shard, exchange),
+            Some(other) => shard.put(id, other),
+            None => {
+                std::mem::drop(shard);
+                self.end_job(pool, id, JobResult::Cancelled);
+            }
+        }
+    }
+
+    fn dispatch(&mut self, shard: &mut Shard, exchange: Exchange<Queued>) {
+        let pool = exchange.route.pool_id();
+        let id = exchange.id;
+        if exchange.deadline() <= self.now {
+            self.end_job(pool, id, JobResult::Cancelled);
+            return self.finish_refused(shard, exchange, MAX_AGE, Refusal::Deadline);
+        }
+        if self.is_doubtful(&exchange) {
+            self.end_job(pool, id, JobResult::Cancelled);
+            return self.finish_unknown(shard, exchange, Doubt::Fence);
+        }
+        let Some(address) = self.address(pool, exchange.stage.upstream) else {
+            self.end_job(pool, id, JobResult::Cancelled);
+            return self.resubmit(shard, exchange);
+        };
+        let message_id = self.core.paths().open(address, id);
+        let exchange = exchange.dispatch(self.now, address, message_id);
+        self.transmit(&exchange);
+        shard.put(id, Live::Dispatched(exchange));
+    }
+
+    /// Returns whether another balancer may have served the request in the meantime.
+    ///
+    /// After the fence has lapsed another owner may have told the caller that an idempotent request did not run.
+    fn is_doubtful(&self, exchange: &Exchange<Queued>) -> bool {
+        let is_fenced = !self.core.is_held(self.now);
+        let is_idempotent = exchange.request.effect == Effect::Idempotent;
+        exchange.term != self.history.term() || is_fenced && !is_idempotent
+    }
+
+    fn resubmit(&mut self, shard: &mut Shard, exchange: Exchange<Queued>) {
+        let not_before = self.now + RESUBMIT;
+        let exchange = exchange.returned(not_before);
+        shard.put(exchange.id, Live::Waiting(exchange));
+    }
+
+    fn address(&self, pool: PoolId, upstream: UpstreamId) -> Option<SocketAddr> {
+        let pool = self.tables().pools.get(&pool)?;
+        pool.upstream(upstream).map(|upstream| upstream.address)
+    }
+
+    fn transmit(&mut self, exchange: &Exchange<Dispatched>) {
+        self.actions.push(Action::Dispatch {
+            upstream: exchange.stage.upstream,
+            address: exchange.stage.address,
+            service: Arc::from(&*exchange.route.name),
+            token: Token::from(exchange.id),
+            message_id: exchange.stage.message_id,
+            deadline: exchange.deadline(),
+            bytes: exchange.request.bytes.clone(),
+        });
+    }
+
+    /// Handles a message of an upstream.
+    pub(crate) fn response(&mut self, source: SocketAddr, response: Response) {
+        if response.outcome == Outcome::Accepted {
+            return self.accepted(source, response.message_id);
+        }
+        let Some(id) = self.own_id(response.token) else {
+            return self.note(Note::UnmatchedResponse { source });
+        };
+        if response.kind == Kind::Confirmable {
+            // Also for a response that came before: the upstream repeats it until it is acknowledged.
+            self.actions.push(Action::Acknowledge {
+                address: source,
+                message_id: response.message_id,
+            });
+        }
+        let core = self.core;
+        let mut shard = core.shards.lock(id as usize);
+        match shard.live.remove(&id) {
+            Some(Live::Dispatched(exchange)) if exchange.stage.address == source => {
+                self.conclude(&mut shard, exchange, response);
+            }
+            other => {
+                if let Some(other) = other {
+                    shard.put(id, other);
+                }
+                self.note(Note::UnmatchedResponse { source });
+            }
+        }
+    }
+
+    fn own_id(&self, token: Token) -> Option<JobId> {
+        let id = token.value()?;
+        let prefix = self.core.incarnation() as u32;
+        (id >> u32::BITS == u64::from(prefix)).then_some(id)
+    }
+
+    fn accepted(&mut self, source: SocketAddr, message_id: u16) {
+        let Some(id) = self.core.paths().find(source, message_id) else {
+            return;
+        };
+        let core = self.core;
+        let mut shard = core.shards.lock(id as usize);
+        if let Some(Live::Dispatched(exchange)) = shard.live.get_mut(&id) {
+            exchange.stage.resend_at = None;
+        }
+    }
+
+    fn conclude(&mut self, shard: &mut Shard, exchange: Exchange<Dispatched>, response: Response) {
+        self.close_path(&exchange);
+        let pool = exchange.route.pool_id();
+        match response.outcome {
+            Outcome::Refused => self.refused(shard, exchange),
+            Outcome::Draining => self.turned_away(shard, exchange),
+            Outcome::Answered | Outcome::Accepted => {
+                self.end_job(pool, exchange.id, JobResult::Answered);
+                if let Some(entry) = shard.flows.get_mut(&exchange.key) {
+                    entry.established = true;
+                }
+                self.finish(shard, exchange, Body::Answer(response.bytes));
+            }
+        }
+    }
+
+    fn close_path(&self, exchange: &Exchange<Dispatched>) {
+        let stage = &exchange.stage;
+        self.core.paths().close(stage.address, stage.message_id);
+    }
+
+    /// Handles a refusal by load: an established flow stays, a new one may go elsewhere.
+    fn refused(&mut self, shard: &mut Shard, exchange: Exchange<Dispatched>) {
+        let upstream = exchange.stage.upstream;
+        let entry = shard.flows.get(&exchange.key);
+        match entry.is_none_or(|entry| entry.established) {
+            true => self.retry(shard, exchange, Some(upstream)),
+            false => {
+                self.release(shard, &exchange.key, upstream);
+                self.retry(shard, exchange, None);
+            }
+        }
+    }
+
+    /// Handles a refusal by an upstream that no longer serves the flow.
+    fn turned_away(&mut self, shard: &mut Shard, exchange: Exchange<Dispatched>) {
+        let upstream = exchange.stage.upstream;
+        self.note(Note::Draining { upstream });
+        self.release(shard, &exchange.key, upstream);
+        self.retry(shard, exchange, None);
+    }
+
+    /// Lets a flow be placed anew.
+    fn release(&mut self, shard: &mut Shard, key: &Key, upstream: UpstreamId) {
+        let Some(entry) = shard.flows.get_mut(key) else {
+            return;
+        };
+        if entry.upstream == Some(upstream) {
+            entry.upstream = None;
+            self.count_closed(key, Some(upstream));
+        }
+    }
+
+    fn retry(
+        &mut self,
+        shard: &mut Shard,
+        exchange: Exchange<Dispatched>,
+        upstream: Option<UpstreamId>,
+    ) {
+        let id = exchange.id;
+        self.end_job(exchange.route.pool_id(), id, JobResult::Refused);
+        let at = self.retry_at(&exchange);
+        let is_placeable = upstream.is_some() || shard.flows.get(&exchange.key).is_some();
+        match at.filter(|&at| is_placeable && at < exchange.deadline()) {
+            Some(at) => {
+                self.note(Note::Retried {
+                    key: exchange.key,
+                    message_id: exchange.request.message_id,
+                });
+                shard.put(id, Live::Waiting(exchange.refused(upstream, at)));
+            }
+            None => self.finish_refused(shard, exchange, MAX_AGE, Refusal::Upstream),
+        }
+    }
+
+    fn retry_at<S>(&self, exchange: &Exchange<S>) -> Option<Duration> {
+        let pool = self.pool(exchange.route.pool_id())?;
+        pool.lock().retry(self.now, exchange.id)
+    }
+
+    /// Handles an acknowledgement or a reset of a caller.
+    pub(crate) fn acknowledgement(&mut self, key: Key, message_id: u16) {
+        let core = self.core;
+        let mut shard = core.shards.lock(shard_index(&key));
+        if let Some(id) = shard.separate.remove(&(key, message_id)) {
+            shard.live.remove(&id);
+        }
+    }
+
+    /// Handles the requests of a shard whose time has come.
+    pub(crate) fn wake(&mut self, shard: &mut Shard) {
+        while let Some(id) = shard.pop_due(self.now) {
+            match shard.live.remove(&id) {
+                Some(Live::Waiting(exchange)) => self.wake_waiting(shard, exchange),
+                Some(Live::Queued(exchange)) => self.wake_queued(shard, exchange),
+                Some(Live::Dispatched(exchange)) => self.wake_dispatched(shard, exchange),
+                Some(Live::Separate(exchange)) => {
+                    self.wake_separate(shard, exchange);
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn wake_waiting(&mut self, shard: &mut Shard, mut exchange: Exchange<Received>) {
+        if exchange.deadline() <= self.now {
+            return self.finish_refused(shard, exchange, MAX_AGE, Refusal::Deadline);
+        }
+        self.empty_ack(&mut exchange);
+        if exchange.stage.not_before <= self.now {
+            return self.submit(shard, exchange);
+        }
+        shard.put(exchange.id, Live::Waiting(exchange));
+    }
+
+    fn wake_queued(&mut self, shard: &mut Shard, mut exchange: Exchange<Queued>) {
+        if exchange.deadline() <= self.now {
+            let pool = exchange.route.pool_id();
+            self.end_job(pool, exchange.id, JobResult::Cancelled);
+            return self.finish_refused(shard, exchange, MAX_AGE, Refusal::Deadline);
+        }
+        self.empty_ack(&mut exchange);
+        shard.put(exchange.id, Live::Queued(exchange));
+    }
+
+    fn wake_dispatched(&mut self, shard: &mut Shard, mut exchange: Exchange<Dispatched>) {
+        if exchange.deadline() <= self.now {
+            return self.time_out(shard, exchange);
+        }
+        self.empty_ack(&mut exchange);
+        if exchange.stage.resend_at.is_some_and(|at| at <= self.now) {
+            self.resend(&mut exchange);
+        }
+        shard.put(exchange.id, Live::Dispatched(exchange));
+    }
+
+    /// Repeats an idempotent request that the upstream may not have got, within the retry budget.
+    fn resend(&mut self, exchange: &mut Exchange<Dispatched>) {
+        exchange.stage.resend_at = None;
+        if self.retry_at(exchange).is_some() {
+            self.transmit(exchange);
+            exchange.stage.resend_at = Some(self.now + 2 * ACK_TIMEOUT);
+        }
+    }
+
+    fn time_out(&mut self, shard: &mut Shard, exchange: Exchange<Dispatched>) {
+        self.close_path(&exchange);
+        self.end_job(exchange.route.pool_id(), exchange.id, JobResult::TimedOut);
+        self.actions.push(Action::Cancel {
+            address: exchange.stage.address,
+            message_id: exchange.stage.message_id,
+        });
+        self.finish_unknown(shard, exchange, Doubt::Deadline);
+    }
+
+    fn wake_separate(&mut self, shard: &mut Shard, mut exchange: Exchange<Finished>) {
+        let key = exchange.key;
+        let Some(reply) = exchange.retransmit(self.now) else {
+            let message_id = exchange.stage.reply.message_id;
+            shard.separate.remove(&(key, message_id));
+            return;
+        };
+        let entry = shard.flows.get(&key);
+        let fabric = entry.and_then(|entry| entry.fabric);
+        let fabric = fabric.unwrap_or(exchange.fabric);
+        self.actions.push(Action::Reply { fabric, key, reply });
+        shard.put(exchange.id, Live::Separate(exchange));
+    }
+
+    fn empty_ack<S>(&mut self, exchange: &mut Exchange<S>) {
+        if exchange.empty_ack_at().is_none_or(|at| at > self.now) {
+            return;
+        }
+        let reply = exchange.acknowledge();
+        self.actions.push(Action::Reply {
+            fabric: exchange.fabric,
+            key: exchange.key,
+            reply,
+        });
+    }
+}
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -3,61 +3,212 @@
 use {
     crate::{
         config::Snapshot,
-        dispatch::Factory,
-        exchange::{Body, Kind, Outcome, Reply, Request, Response, Token},
-        flow::Key,
-        id::{Incarnation, Map, VmId},
+        context::Context,
+        dedupe::Limit,
+        dispatch::{Dispatcher, Factory, JobId},
+        flow::{Key, SHARDS, Shards, shard_index},
+        handover::{Digest, Machine},
+        history::History,
+        id::{Incarnation, Map, PoolId, VmId},
         owner::{Decision, View},
+        shard::Shard,
     },
     std::{
+        collections::VecDeque,
+        fmt,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError, RwLock,
-            atomic::{AtomicU32, Ordering},
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
+    xxhash_rust::xxh3::Xxh3,
 };
 
-#[derive(Debug)]
-struct Dispatched {
-    fabric: SocketAddr,
-    key: Key,
-    upstream: SocketAddr,
-    kind: Kind,
-    message_id: u16,
-    token: Token,
+pub use crate::event::{Action, Event, Note, Step};
+
+/// Former tables that are kept for the flows that followed their defaults.
+const FORMER_TABLES: usize = 8;
+
+/// Limits of one balancer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Open flows.
+    pub flows: usize,
+    /// Time without a request after which a flow has ended.
+    pub idle: Duration,
+    /// Bytes of cached responses.
+    pub cache_bytes: usize,
 }
 
-pub use crate::event::{Action, Event, Note, Step};
+/// The tables in force and the ones before, immutable and swapped as a whole.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Config {
+    pub(crate) tables: Arc<Snapshot>,
+    pub(crate) digest: Digest,
+    /// Former tables, oldest first, and when they were replaced.
+    former: Vec<(Arc<Snapshot>, Duration)>,
+}
+
+/// The dispatcher of a pool under its lock.
+pub(crate) struct Pool(Mutex<Box<dyn Dispatcher>>);
+
+/// The Message IDs in use towards one upstream.
+#[derive(Debug, Default)]
+struct Path {
+    next: u16,
+    open: Map<u16, JobId>,
+}
+
+/// The Message IDs in use towards each upstream, which deduplicates by them.
+#[derive(Debug, Default)]
+pub(crate) struct Paths(Map<SocketAddr, Path>);
 
 /// The decisions of one balancer.
+///
+/// All methods may be called from several threads. Lock order: flow shard, then pool, then any of the others.
 pub struct Core {
-    #[expect(dead_code, reason = "requests are dispatched without queues so far")]
-    factory: Factory,
-    held_until: Mutex<Duration>,
     id: VmId,
     incarnation: Incarnation,
-    view: RwLock<Arc<View>>,
-    tables: RwLock<Arc<Snapshot>>,
-    dispatched: Mutex<Map<Token, Dispatched>>,
-    counter: AtomicU32,
+    factory: Factory,
+    pub(crate) settings: Settings,
+    pub(crate) shards: Shards<Shard>,
+    pub(crate) cache: Limit,
+    pools: RwLock<Map<PoolId, Arc<Pool>>>,
+    config: RwLock<Arc<Config>>,
+    history: RwLock<Arc<History>>,
+    machine: Mutex<Machine>,
+    paths: Mutex<Paths>,
+    held_until_nanos: AtomicU64,
+    is_leaving: AtomicBool,
+    ticking: Mutex<()>,
+    now_nanos: AtomicU64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            flows: 400_000,
+            idle: Duration::from_secs(3_600),
+            cache_bytes: 16 << 20,
+        }
+    }
+}
+
+impl Config {
+    /// Returns the tables that were in force at any time within a period that ends now.
+    pub(crate) fn within(
+        &self,
+        now: Duration,
+        period: Duration,
+    ) -> impl Iterator<Item = &Arc<Snapshot>> {
+        let former = self.former.iter();
+        let recent = former.filter(move |(_, replaced)| now < *replaced + period);
+        recent.map(|(tables, _)| tables).chain([&self.tables])
+    }
+
+    /// Returns the oldest tables that were in force within a period that ends now.
+    pub(crate) fn oldest_within(&self, now: Duration, period: Duration) -> Option<&Snapshot> {
+        self.within(now, period).next().map(|tables| &**tables)
+    }
+
+    fn replaced(&self, now: Duration, tables: Arc<Snapshot>) -> Config {
+        let mut former = self.former.clone();
+        former.push((self.tables.clone(), now));
+        if former.len() > FORMER_TABLES {
+            former.remove(0);
+        }
+        Config {
+            digest: digest(&tables),
+            tables,
+            former,
+        }
+    }
+}
+
+fn digest(tables: &Snapshot) -> Digest {
+    let pools = tables.pools.iter();
+    let mut versions: Vec<(PoolId, u64)> = pools
+        .map(|(&id, resolved)| (id, resolved.pool.generation))
+        .collect();
+    versions.sort_unstable();
+    let mut hasher = Xxh3::new();
+    for (id, generation) in versions {
+        hasher.update(&id.to_be_bytes());
+        hasher.update(&generation.to_be_bytes());
+    }
+    hasher.digest()
+}
+
+impl Pool {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Box<dyn Dispatcher>> {
+        lock(&self.0)
+    }
+}
+
+impl Paths {
+    /// Returns a Message ID for a dispatch.
+    pub(crate) fn open(&mut self, address: SocketAddr, id: JobId) -> u16 {
+        let path = self.0.entry(address).or_default();
+        path.next = path.next.wrapping_add(1);
+        path.open.insert(path.next, id);
+        path.next
+    }
+
+    /// Returns the dispatch with a Message ID.
+    pub(crate) fn find(&self, address: SocketAddr, message_id: u16) -> Option<JobId> {
+        self.0.get(&address)?.open.get(&message_id).copied()
+    }
+
+    /// Forgets a dispatch.
+    pub(crate) fn close(&mut self, address: SocketAddr, message_id: u16) {
+        if let Some(path) = self.0.get_mut(&address) {
+            path.open.remove(&message_id);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn read<T: Clone>(value: &RwLock<T>) -> T {
+    value.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
 
 impl Core {
     /// Creates the decisions of a balancer that knows neither members nor tables.
     ///
-    /// `incarnation` differs at each start of the balancer, so that no token is used twice.
+    /// The low 32 bits of `incarnation` differ at each start of the balancer, so that no token is used twice.
     pub fn new(id: VmId, incarnation: Incarnation, factory: Factory) -> Core {
+        Core::with_settings(id, incarnation, Settings::default(), factory)
+    }
+
+    /// Creates the decisions of a balancer with limits other than the defaults.
+    pub fn with_settings(
+        id: VmId,
+        incarnation: Incarnation,
+        settings: Settings,
+        factory: Factory,
+    ) -> Core {
+        let flows = settings.flows / SHARDS;
         Core {
-            factory,
-            held_until: Mutex::default(),
             id,
             incarnation,
-            view: RwLock::default(),
-            tables: RwLock::default(),
-            dispatched: Mutex::default(),
-            counter: AtomicU32::default(),
+            factory,
+            shards: Shards::new(|index| Shard::new(index, incarnation, id, flows)),
+            cache: Limit::new(settings.cache_bytes),
+            settings,
+            pools: RwLock::default(),
+            config: RwLock::default(),
+            history: RwLock::new(Arc::new(History::new(id))),
+            machine: Mutex::new(Machine::new(incarnation)),
+            paths: Mutex::default(),
+            held_until_nanos: AtomicU64::default(),
+            is_leaving: AtomicBool::default(),
+            ticking: Mutex::default(),
+            now_nanos: AtomicU64::default(),
         }
     }
 
@@ -65,156 +216,213 @@
     ///
     /// Previous views are kept until each of their members has handed over its flows or has died. A member that is
     /// leaving and still answers claims is named by [`View::with_leaving`].
-    pub fn set_view(&self, _now: Duration, view: View) {
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    pub fn set_view(&self, now: Duration, view: View) {
+        let number = self.history().number();
+        let history = self.update(|history| history.advance(now, view));
+        if history.number() != number {
+            self.machine().restart(&history, self.id);
+        }
     }
 
     /// Puts routes and pools in force.
-    pub fn set_tables(&self, _now: Duration, tables: Arc<Snapshot>) {
-        *self.tables.write().unwrap_or_else(PoisonError::into_inner) = tables;
+    pub fn set_tables(&self, now: Duration, tables: Arc<Snapshot>) {
+        for (&id, resolved) in &tables.pools {
+            match self.pool(id) {
+                Some(pool) => pool.lock().set_pool(now, resolved),
+                None => self.add_pool(id, (self.factory)(resolved)),
+            }
+        }
+        let mut config = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        *config = Arc::new(config.replaced(now, tables));
+        drop(config);
+        self.machine().copy_again();
     }
 
     /// Allows dispatches of non-idempotent requests until `held_until`, on the balancer's clock.
     ///
     /// The quorum base extends it with each message from a majority of the zone.
-    pub fn set_fence(&self, _now: Duration, held_until: Duration) {
-        *self
-            .held_until
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = held_until;
+    pub fn set_fence(&self, now: Duration, held_until: Duration) {
+        let nanos = held_until.as_nanos() as u64;
+        let before = self.held_until_nanos.swap(nanos, Ordering::AcqRel);
+        let has_lapsed = before > 0 && Duration::from_nanos(before) <= now;
+        if has_lapsed && held_until > now {
+            let history = self.update(History::lapse);
+            self.machine().restart(&history, self.id);
+        }
     }
 
     /// Starts a planned leave: hands every flow over.
     ///
     /// The view that follows no longer names this balancer as a member.
-    pub fn leave(&self, _now: Duration) {}
+    pub fn leave(&self, _now: Duration) {
+        self.is_leaving.store(true, Ordering::Release);
+    }
 
-    /// Returns whether every flow is handed over and no request is in flight.
+    /// Returns whether a planned leave is over: every flow is handed over and no request is in flight.
     pub fn is_drained(&self) -> bool {
-        self.dispatched
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_empty()
+        let is_empty = |index| {
+            let shard = self.shards.lock(index);
+            shard.live.is_empty() && shard.flows.is_empty() && shard.claims.is_empty()
+        };
+        self.is_leaving.load(Ordering::Acquire)
+            && !self.history().current().is_member(self.id)
+            && self.machine().is_idle()
+            && (0..SHARDS).all(is_empty)
+    }
+
+    /// Returns the number of open flows.
+    pub fn flows(&self) -> usize {
+        let count = |index| self.shards.lock(index).flows.len();
+        (0..SHARDS).map(count).sum()
     }
 
     /// Returns the routes and pools in force.
     pub fn tables(&self) -> Arc<Snapshot> {
-        self.tables
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.config().tables.clone()
     }
 
     /// Decides where a datagram of a flow is handled.
     pub fn route(&self, key: &Key) -> Step {
-        if !self.tables().routes.contains_key(&key.service) {
+        if !self.config().tables.routes.contains_key(&key.service) {
             return Step::UnknownService;
         }
-        let view = self
-            .view
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        match view.decide(key.hash()) {
-            Decision::Owner(id) | Decision::Acting(id) if id == self.id => Step::Local,
-            decision => forward(&view, decision),
+        let history = self.history();
+        let owner = match history.current().decide(key.hash()) {
+            Decision::Nobody => return Step::NoOwner,
+            Decision::Owner(id) | Decision::Acting(id) => id,
+        };
+        let now = Duration::from_nanos(self.now_nanos.load(Ordering::Relaxed));
+        let to = self.holder(now, &history, key, owner);
+        if to == self.id {
+            return Step::Local;
+        }
+        match history.address(now, to) {
+            Some(address) => Step::Forward { to, address },
+            None => Step::NoOwner,
         }
     }
 
+    /// Returns who serves a flow while balancers have different views.
+    fn holder(&self, now: Duration, history: &History, key: &Key, owner: VmId) -> VmId {
+        let mut shard = self.shards.lock(shard_index(key));
+        if let Some(entry) = shard.flows.get(key) {
+            let is_here = owner == self.id || entry.view == history.number();
+            return if is_here { self.id } else { owner };
+        }
+        if shard.claims.contains_key(key) {
+            return self.id;
+        }
+        match shard.moved.get_mut(key) {
+            Some(moved) if moved.view == history.number() && history.reaches(now, moved.to) => {
+                moved.used = now;
+                moved.to
+            }
+            _ => owner,
+        }
+    }
+
+    /// Returns the address of a balancer's peer socket, for [`Action::Send`].
+    ///
+    /// A balancer that joined a moment ago may be known from its messages before it is in the view.
+    pub fn address(&self, now: Duration, id: VmId) -> Option<SocketAddr> {
+        self.history().address(now, id)
+    }
+
     /// Handles an event and appends what is to be done.
     pub fn handle(&self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        self.now_nanos
+            .store(now.as_nanos() as u64, Ordering::Relaxed);
+        let mut context = Context {
+            core: self,
+            now,
+            config: self.config(),
+            history: self.history(),
+            actions,
+            verdicts: VecDeque::new(),
+        };
         match event {
             Event::Request {
                 fabric,
                 key,
                 request,
-            } => actions.extend(self.dispatch(now, fabric, key, request)),
-            Event::Response { source, response } => actions.extend(self.answer(source, response)),
-            Event::Acknowledgement { .. } | Event::Peer { .. } | Event::Tick => {}
+            } => context.request(fabric, key, request),
+            Event::Response { source, response } => context.response(source, response),
+            Event::Acknowledgement {
+                key, message_id, ..
+            } => context.acknowledgement(key, message_id),
+            Event::Peer { from, message } => context.peer(from, message),
+            Event::Tick => {
+                // A second thread that ticks at the same time has nothing to add.
+                if let Ok(_guard) = self.ticking.try_lock() {
+                    context.tick();
+                }
+            }
         }
+        context.settle();
     }
 
-    fn dispatch(
-        &self,
-        now: Duration,
-        fabric: SocketAddr,
-        key: Key,
-        request: Request,
-    ) -> Option<Action> {
-        let tables = self.tables();
-        let route = tables.routes.get(&key.service)?;
-        let pool = tables.pools.get(&route.pool_id())?;
-        let upstream = pool.table.get(key.hash())?;
-        let address = pool.upstream(upstream)?.address;
-        let counter = self.counter.fetch_add(1, Ordering::Relaxed);
-        let token = Token::from(self.incarnation << u32::BITS | u64::from(counter));
-        let Request {
-            kind,
-            message_id,
-            token: caller_token,
-            bytes,
-            ..
-        } = request;
-        let dispatched = Dispatched {
-            fabric,
-            key,
-            upstream: address,
-            kind,
-            message_id,
-            token: caller_token,
-        };
-        self.dispatched
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(token, dispatched);
-        Some(Action::Dispatch {
-            upstream,
-            address,
-            service: Arc::from(&*route.name),
-            token,
-            message_id: counter as u16,
-            deadline: now + route.deadline,
-            bytes,
-        })
-    }
-
-    fn answer(&self, source: SocketAddr, response: Response) -> Option<Action> {
-        let mut dispatched = self
-            .dispatched
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if dispatched.get(&response.token)?.upstream != source {
-            return None;
-        }
-        let request = dispatched.remove(&response.token)?;
-        let kind = match request.kind {
-            Kind::Confirmable => Kind::Acknowledgement,
-            _ => Kind::NonConfirmable,
-        };
-        let body = match response.outcome {
-            Outcome::Answered => Body::Answer(response.bytes),
-            Outcome::Refused | Outcome::Draining => Body::NotRun { max_age: 1 },
-        };
-        let reply = Reply {
-            kind,
-            message_id: request.message_id,
-            token: request.token,
-            body,
-        };
-        Some(Action::Reply {
-            fabric: request.fabric,
-            key: request.key,
-            reply,
-        })
+    pub(crate) fn id(&self) -> VmId {
+        self.id
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns whether non-idempotent requests may be dispatched.
+    pub(crate) fn is_held(&self, now: Duration) -> bool {
+        now < Duration::from_nanos(self.held_until_nanos.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn machine(&self) -> MutexGuard<'_, Machine> {
+        lock(&self.machine)
+    }
+
+    pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
+        lock(&self.paths)
+    }
+
+    pub(crate) fn pool(&self, id: PoolId) -> Option<Arc<Pool>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.get(&id).cloned()
+    }
+
+    pub(crate) fn all_pools(&self) -> Vec<(PoolId, Arc<Pool>)> {
+        let pools = read(&self.pools);
+        let mut pools: Vec<(PoolId, Arc<Pool>)> = pools.into_iter().collect();
+        pools.sort_by_key(|&(id, _)| id);
+        pools
+    }
+
+    /// Changes the history and returns the result.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut History)) -> Arc<History> {
+        let mut history = self.history.write().unwrap_or_else(PoisonError::into_inner);
+        let mut next = History::clone(&history);
+        change(&mut next);
+        *history = Arc::new(next);
+        history.clone()
+    }
+
+    fn add_pool(&self, id: PoolId, dispatcher: Box<dyn Dispatcher>) {
+        let pool = Arc::new(Pool(Mutex::new(dispatcher)));
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        pools.insert(id, pool);
+    }
+
+    fn config(&self) -> Arc<Config> {
+        read(&self.config)
+    }
+
+    fn history(&self) -> Arc<History> {
+        read(&self.history)
     }
 }
 
-fn forward(view: &View, decision: Decision) -> Step {
-    let Some(to) = decision.balancer() else {
-        return Step::NoOwner;
-    };
-    match view.address(to) {
-        Some(address) => Step::Forward { to, address },
-        None => Step::NoOwner,
+impl fmt::Debug for Core {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut output = formatter.debug_struct("Core");
+        output.field("id", &self.id);
+        output.field("incarnation", &self.incarnation);
+        output.finish_non_exhaustive()
     }
 }
--- /dev/null
+++ b/crates/policy/src/context.rs
@@ -0,0 +1,245 @@
+//! One call of the decisions of a balancer: its time, its snapshots and what it leaves to do.
+
+use {
+    crate::{
+        balancer::{Config, Core, Pool},
+        config::{Route, Snapshot},
+        dedupe::{Mark, State},
+        dispatch::{JobId, JobResult, Verdict},
+        event::{Action, Doubt, Note, Refusal},
+        exchange::{Body, Effect, Exchange, Kind, Reply, Request, Token},
+        flow::{Entry, Key},
+        handover::Message,
+        history::History,
+        id::{PoolId, UpstreamId, VmId},
+        shard::{Live, Shard},
+    },
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// What one call works with.
+pub(crate) struct Context<'a> {
+    pub(crate) core: &'a Core,
+    pub(crate) now: Duration,
+    pub(crate) config: Arc<Config>,
+    pub(crate) history: Arc<History>,
+    pub(crate) actions: &'a mut Vec<Action>,
+    pub(crate) verdicts: VecDeque<(PoolId, Verdict)>,
+}
+
+impl Context<'_> {
+    pub(crate) fn note(&mut self, note: Note) {
+        self.actions.push(Action::Log(note));
+    }
+
+    pub(crate) fn send(&mut self, to: VmId, message: Message) {
+        self.actions.push(Action::Send { to, message });
+    }
+
+    pub(crate) fn tables(&self) -> &Snapshot {
+        &self.config.tables
+    }
+
+    pub(crate) fn route(&self, key: &Key) -> Option<Arc<Route>> {
+        self.tables().routes.get(&key.service).cloned()
+    }
+
+    pub(crate) fn pool(&self, id: PoolId) -> Option<Arc<Pool>> {
+        self.core.pool(id)
+    }
+
+    /// Returns whether the present view gives a flow to this balancer.
+    pub(crate) fn is_own(&self, key: &Key) -> bool {
+        let decision = self.history.current().decide(key.hash());
+        decision.balancer() == Some(self.core.id())
+    }
+
+    /// Counts a flow at its upstream.
+    pub(crate) fn count_opened(&self, key: &Key, upstream: Option<UpstreamId>) {
+        if let Some(upstream) = upstream
+            && let Some(route) = self.route(key)
+            && let Some(pool) = self.pool(route.pool_id())
+        {
+            pool.lock().flow_opened(upstream);
+        }
+    }
+
+    /// Stops counting a flow at its upstream.
+    pub(crate) fn count_closed(&self, key: &Key, upstream: Option<UpstreamId>) {
+        if let Some(upstream) = upstream
+            && let Some(route) = self.route(key)
+            && let Some(pool) = self.pool(route.pool_id())
+        {
+            pool.lock().flow_closed(upstream);
+        }
+    }
+
+    /// Ends a job at its dispatcher.
+    pub(crate) fn end_job(&mut self, pool: PoolId, id: JobId, result: JobResult) {
+        let Some(dispatcher) = self.pool(pool) else {
+            return;
+        };
+        let mut verdicts = Vec::new();
+        dispatcher
+            .lock()
+            .finished(self.now, id, result, &mut verdicts);
+        self.collect(pool, verdicts);
+    }
+
+    pub(crate) fn collect(&mut self, pool: PoolId, verdicts: Vec<Verdict>) {
+        let verdicts = verdicts.into_iter().map(|verdict| (pool, verdict));
+        self.verdicts.extend(verdicts);
+    }
+
+    /// Returns why a non-idempotent request must not run.
+    pub(crate) fn doubt(&self, entry: &Entry, effect: Effect) -> Option<Doubt> {
+        if effect == Effect::Idempotent {
+            return None;
+        }
+        if entry.acting {
+            return Some(Doubt::ActingOwner);
+        }
+        if self.now < entry.quarantined_until {
+            return Some(Doubt::Quarantine);
+        }
+        (!self.core.is_held(self.now)).then_some(Doubt::Fence)
+    }
+
+    pub(crate) fn finish_unknown<S>(
+        &mut self,
+        shard: &mut Shard,
+        exchange: Exchange<S>,
+        reason: Doubt,
+    ) {
+        self.note(Note::Unknown {
+            key: exchange.key,
+            message_id: exchange.request.message_id,
+            reason,
+        });
+        self.finish(shard, exchange, Body::Unknown);
+    }
+
+    pub(crate) fn finish_refused<S>(
+        &mut self,
+        shard: &mut Shard,
+        exchange: Exchange<S>,
+        max_age: u32,
+        reason: Refusal,
+    ) {
+        self.note(Note::Refused {
+            key: exchange.key,
+            message_id: exchange.request.message_id,
+            reason,
+        });
+        self.finish(shard, exchange, Body::NotRun { max_age });
+    }
+
+    /// Answers a request and remembers the answer, here or at the new owner.
+    pub(crate) fn finish<S>(&mut self, shard: &mut Shard, exchange: Exchange<S>, body: Body) {
+        self.remember(shard, &exchange, &body);
+        let message_id = shard.next_message_id();
+        let finished = exchange.finish(self.now, body, message_id);
+        let entry = shard.flows.get(&finished.key);
+        let fabric = entry.and_then(|entry| entry.fabric);
+        self.actions.push(Action::Reply {
+            fabric: fabric.unwrap_or(finished.fabric),
+            key: finished.key,
+            reply: finished.stage.reply.clone(),
+        });
+        if finished.is_separate() {
+            let id = finished.id;
+            shard.separate.insert((finished.key, message_id), id);
+            shard.put(id, Live::Separate(finished));
+        }
+    }
+
+    fn remember<S>(&mut self, shard: &mut Shard, exchange: &Exchange<S>, body: &Body) {
+        let message_id = exchange.request.message_id;
+        if shard.flows.get(&exchange.key).is_some() {
+            if let Some(window) = shard.windows.get_mut(&exchange.key) {
+                window.answer(message_id, body, &self.core.cache);
+            }
+            return;
+        }
+        let Some(moved) = shard.moved.get(&exchange.key) else {
+            return;
+        };
+        let mark = Mark {
+            message_id,
+            token: exchange.request.token,
+            effect: exchange.request.effect,
+            age: self.now.saturating_sub(exchange.arrived),
+            state: State::Answered(Some(body.clone())),
+        };
+        self.send_outcome(moved.to, exchange.key, mark);
+    }
+
+    pub(crate) fn send_outcome(&mut self, to: VmId, key: Key, mark: Mark) {
+        let mut machine = self.core.machine();
+        let sequence = machine.number();
+        let message = Message::Outcome {
+            sequence,
+            key,
+            mark,
+        };
+        machine.bucket.take(message_size(&message));
+        machine.keep(self.now, sequence, to, message.clone());
+        drop(machine);
+        self.send(to, message);
+    }
+
+    /// Answers a datagram without a request in progress.
+    pub(crate) fn reply(
+        &mut self,
+        shard: &mut Shard,
+        fabric: SocketAddr,
+        key: Key,
+        request: &Request,
+        body: Body,
+    ) {
+        let (kind, message_id) = match request.kind {
+            Kind::Confirmable => (Kind::Acknowledgement, request.message_id),
+            _ => (Kind::NonConfirmable, shard.next_message_id()),
+        };
+        let token = match body {
+            Body::Empty => Token::default(),
+            _ => request.token,
+        };
+        let reply = Reply {
+            kind,
+            message_id,
+            token,
+            body,
+        };
+        self.actions.push(Action::Reply { fabric, key, reply });
+    }
+
+    /// Acts on what the dispatchers have decided; no lock may be held.
+    pub(crate) fn settle(&mut self) {
+        while let Some((pool, verdict)) = self.verdicts.pop_front() {
+            match verdict {
+                Verdict::Dispatch(id) => self.start(pool, id),
+                Verdict::Refuse { id, max_age } => self.refuse(id, max_age),
+            }
+        }
+    }
+
+    fn refuse(&mut self, id: JobId, max_age: u32) {
+        let mut shard = self.core.shards.lock(id as usize);
+        match shard.live.remove(&id) {
+            Some(Live::Queued(exchange)) => {
+                self.finish_refused(&mut shard, exchange, max_age, Refusal::Admission);
+            }
+            Some(other) => shard.put(id, other),
+            None => {}
+        }
+    }
+}
+
+fn message_size(message: &Message) -> usize {
+    const FIXED_BYTES: usize = 60;
+    match message {
+        Message::Outcome { mark, .. } => FIXED_BYTES + mark.size(),
+        _ => FIXED_BYTES,
+    }
+}
--- a/crates/policy/src/dedupe.rs
+++ b/crates/policy/src/dedupe.rs
@@ -1,18 +1,40 @@
 //! Recent requests of a flow.
 //!
-//! See [requests](../../../docs/design.md#6-requests).
+//! The window decides whether a datagram is a new request or a retransmission. See
+//! [requests](../../../docs/design.md#6-requests).
 
 use {
-    crate::exchange::{Body, Effect},
+    crate::exchange::{Body, Effect, Token},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{
+        collections::VecDeque,
+        sync::atomic::{AtomicUsize, Ordering},
+        time::Duration,
+    },
 };
 
+/// EXCHANGE_LIFETIME of RFC 7252: how long a Message ID stays in use.
+pub const LIFETIME: Duration = Duration::from_secs(247);
+
+/// MAX_TRANSMIT_SPAN of RFC 7252, 5 s for the largest datagram delay and 5 s for differing views.
+///
+/// After this time no retransmission of an older request can arrive.
+pub const QUARANTINE: Duration = Duration::from_secs(45 + 5 + 5);
+
+/// Longest response body that moves to another balancer, so that a record fits a datagram.
+const MOVED_BODY_BYTES: usize = 256;
+
+/// Responses that one flow may keep; a caller has few requests outstanding (NSTART of RFC 7252 is 1).
+const CACHED_RESPONSES: usize = 16;
+
 /// A recent request as it moves between balancers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "WireMark", into = "WireMark")]
 pub struct Mark {
     /// Message ID that the caller chose.
     pub message_id: u16,
+    /// Token that the caller chose.
+    pub token: Token,
     /// Whether a second run is harmless.
     pub effect: Effect,
     /// Time since the request arrived.
@@ -26,6 +48,264 @@
 pub enum State {
     /// It has no answer yet.
     InFlight,
-    /// It has been answered.
+    /// It has been answered; the response may have been evicted.
     Answered(Option<Body>),
 }
+
+#[derive(Deserialize, Serialize)]
+struct WireMark(u16, Token, bool, u32, State);
+
+/// What a datagram is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Found {
+    /// A request that has not been seen.
+    New,
+    /// A retransmission of a request without an answer, that arrived at the given time.
+    InFlight(Duration),
+    /// A retransmission of an answered request.
+    Answered(Body),
+    /// A retransmission of an answered request whose response is no longer cached.
+    Evicted,
+    /// A request that uses the Message ID of another one.
+    Conflict,
+}
+
+/// Bytes of cached responses over all flows of a balancer.
+#[derive(Debug)]
+pub struct Limit {
+    used: AtomicUsize,
+    bytes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    message_id: u16,
+    token: Token,
+    effect: Effect,
+    arrived: Duration,
+    state: State,
+}
+
+/// The recent requests of one flow, oldest first.
+#[derive(Debug, Default)]
+pub struct Window {
+    slots: VecDeque<Slot>,
+}
+
+impl Limit {
+    /// Creates a limit in bytes.
+    pub fn new(bytes: usize) -> Limit {
+        Limit {
+            used: AtomicUsize::new(0),
+            bytes,
+        }
+    }
+
+    /// Returns the bytes in use.
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) -> bool {
+        let used = self.used.fetch_add(bytes, Ordering::Relaxed);
+        let fits = used + bytes <= self.bytes;
+        if !fits {
+            self.release(bytes);
+        }
+        fits
+    }
+
+    fn release(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Window {
+    /// Returns what a datagram is.
+    pub fn find(&self, message_id: u16, token: Token) -> Found {
+        let Some(slot) = self.slot(message_id) else {
+            return Found::New;
+        };
+        if slot.token != token {
+            return Found::Conflict;
+        }
+        match &slot.state {
+            State::InFlight => Found::InFlight(slot.arrived),
+            State::Answered(Some(body)) => Found::Answered(body.clone()),
+            State::Answered(None) => Found::Evicted,
+        }
+    }
+
+    /// Adds a request that is about to be worked on; replaces an earlier one with its Message ID.
+    pub fn open(&mut self, now: Duration, message_id: u16, token: Token, effect: Effect) {
+        self.slots.retain(|slot| slot.message_id != message_id);
+        self.slots.push_back(Slot {
+            message_id,
+            token,
+            effect,
+            arrived: now,
+            state: State::InFlight,
+        });
+    }
+
+    /// Records the answer of a request, if the window has it.
+    pub fn answer(&mut self, message_id: u16, body: &Body, limit: &Limit) {
+        self.make_room(limit);
+        let Some(slot) = self
+            .slots
+            .iter_mut()
+            .find(|one| one.message_id == message_id)
+        else {
+            return;
+        };
+        slot.evict(limit);
+        let is_cached = limit.take(body.len());
+        slot.state = State::Answered(is_cached.then(|| body.clone()));
+    }
+
+    /// Removes a request that was not worked on.
+    pub fn forget(&mut self, message_id: u16) {
+        self.slots.retain(|slot| slot.message_id != message_id);
+    }
+
+    /// Removes requests past their lifetime.
+    pub fn expire(&mut self, now: Duration, limit: &Limit) {
+        while let Some(slot) = self.slots.front_mut()
+            && slot.arrived + LIFETIME <= now
+        {
+            slot.evict(limit);
+            self.slots.pop_front();
+        }
+    }
+
+    /// Removes all requests.
+    pub fn clear(&mut self, limit: &Limit) {
+        self.slots.iter_mut().for_each(|slot| slot.evict(limit));
+        self.slots.clear();
+    }
+
+    /// Returns whether the window has no requests.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Returns whether a retransmission to another balancer could be harmful.
+    pub fn has_marks(&self, now: Duration) -> bool {
+        self.slots.iter().any(|slot| slot.must_move(now))
+    }
+
+    /// Returns what another balancer needs to recognize retransmissions.
+    pub fn marks(&self, now: Duration) -> Vec<Mark> {
+        let slots = self.slots.iter().filter(|slot| slot.must_move(now));
+        slots.map(|slot| slot.mark(now)).collect()
+    }
+
+    /// Adds the requests that another balancer has seen; an answer replaces a request in flight.
+    pub fn merge(&mut self, now: Duration, marks: Vec<Mark>, limit: &Limit) {
+        for mark in marks {
+            if self.slot(mark.message_id).is_none() {
+                let arrived = now.saturating_sub(mark.age);
+                self.open(arrived, mark.message_id, mark.token, mark.effect);
+            }
+            self.settle(&mark, limit);
+        }
+        let slots = self.slots.make_contiguous();
+        slots.sort_by_key(|slot| slot.arrived);
+    }
+
+    fn settle(&mut self, mark: &Mark, limit: &Limit) {
+        let State::Answered(body) = &mark.state else {
+            return;
+        };
+        let mut slots = self.slots.iter_mut();
+        let Some(slot) = slots.find(|slot| slot.message_id == mark.message_id) else {
+            return;
+        };
+        if slot.token != mark.token || slot.state != State::InFlight {
+            return;
+        }
+        match body {
+            Some(body) => self.answer(mark.message_id, body, limit),
+            None => slot.state = State::Answered(None),
+        }
+    }
+
+    fn make_room(&mut self, limit: &Limit) {
+        let is_cached = |slot: &Slot| matches!(slot.state, State::Answered(Some(_)));
+        let cached = self.slots.iter().filter(|slot| is_cached(slot)).count();
+        let surplus = (cached + 1).saturating_sub(CACHED_RESPONSES);
+        let slots = self.slots.iter_mut().filter(|slot| is_cached(slot));
+        slots.take(surplus).for_each(|slot| slot.evict(limit));
+    }
+
+    fn slot(&self, message_id: u16) -> Option<&Slot> {
+        self.slots.iter().find(|slot| slot.message_id == message_id)
+    }
+}
+
+impl Slot {
+    /// A response of "did not run" moves for every method, since a late duplicate must not run afterwards.
+    fn must_move(&self, now: Duration) -> bool {
+        let refused = matches!(self.state, State::Answered(Some(Body::NotRun { .. })));
+        let in_flight = self.state == State::InFlight;
+        let matters = refused || in_flight || self.effect == Effect::NonIdempotent;
+        matters && now < self.arrived + QUARANTINE
+    }
+
+    fn mark(&self, now: Duration) -> Mark {
+        let state = match &self.state {
+            State::Answered(Some(body)) if body.len() > MOVED_BODY_BYTES => State::Answered(None),
+            state => state.clone(),
+        };
+        Mark {
+            message_id: self.message_id,
+            token: self.token,
+            effect: self.effect,
+            age: now.saturating_sub(self.arrived),
+            state,
+        }
+    }
+
+    fn evict(&mut self, limit: &Limit) {
+        if let State::Answered(body) = &mut self.state
+            && let Some(body) = body.take()
+        {
+            limit.release(body.len());
+        }
+    }
+}
+
+impl Mark {
+    /// Returns an estimate of the encoded size, in bytes.
+    pub fn size(&self) -> usize {
+        const FIXED_BYTES: usize = 40;
+        match &self.state {
+            State::Answered(Some(body)) => FIXED_BYTES + body.len(),
+            _ => FIXED_BYTES,
+        }
+    }
+}
+
+impl From<WireMark> for Mark {
+    fn from(WireMark(message_id, token, is_idempotent, age, state): WireMark) -> Mark {
+        let effect = match is_idempotent {
+            true => Effect::Idempotent,
+            false => Effect::NonIdempotent,
+        };
+        Mark {
+            message_id,
+            token,
+            effect,
+            age: Duration::from_millis(age.into()),
+            state,
+        }
+    }
+}
+
+impl From<Mark> for WireMark {
+    fn from(mark: Mark) -> WireMark {
+        let is_idempotent = mark.effect == Effect::Idempotent;
+        let age = mark.age.as_millis() as u32;
+        WireMark(mark.message_id, mark.token, is_idempotent, age, mark.state)
+    }
+}
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -252,6 +252,8 @@
     UnknownService,
     /// The flow belongs to another balancer.
     NotOwner,
+    /// The upstream of the flow is not in the tables yet.
+    UnknownUpstream,
     /// A bounded table or queue is full.
     Full,
 }
--- a/crates/policy/src/exchange.rs
+++ b/crates/policy/src/exchange.rs
@@ -1,12 +1,22 @@
-//! Requests and answers as the decisions see them.
+//! Requests and answers as the decisions see them, and the life cycle of a request.
 //!
 //! The codec packages convert CoAP messages from and to these types, so that the decisions stay independent of the
-//! encoding.
+//! encoding. The stages of [`Exchange`] are types, so that a request cannot be answered twice or dispatched after its
+//! answer.
 
-use serde::{Deserialize, Serialize};
+use {
+    crate::{
+        config::Route,
+        dispatch::{Job, JobId},
+        flow::Key,
+        id::UpstreamId,
+    },
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
 
 /// A token of RFC 7252, at most 8 bytes.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Token {
     bytes: [u8; Token::MAX_BYTES],
     length: u8,
@@ -58,6 +68,8 @@
     Answered,
     /// It did not run (5.03).
     Refused,
+    /// It has arrived and the response follows (an empty ACK, matched by Message ID since it carries no token).
+    Accepted,
     /// The upstream no longer belongs to the service or is draining, and did not run it.
     Draining,
 }
@@ -137,3 +149,235 @@
         }
     }
 }
+
+impl Token {
+    /// Returns the value of a token that was made from one.
+    pub fn value(&self) -> Option<u64> {
+        let is_whole = usize::from(self.length) == Token::MAX_BYTES;
+        is_whole.then(|| u64::from_be_bytes(self.bytes))
+    }
+}
+
+impl Body {
+    /// Returns the bytes that caching the body takes, besides the fixed size of its slot.
+    pub fn len(&self) -> usize {
+        match self {
+            Body::Answer(bytes) => bytes.len(),
+            _ => 0,
+        }
+    }
+
+    /// Returns whether the body has no bytes of an upstream.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Time after which a confirmable request without a response gets an empty ACK; below ACK_TIMEOUT (2 s), so that the
+/// caller does not retransmit.
+pub const EMPTY_ACK: Duration = Duration::from_millis(1_500);
+
+/// ACK_TIMEOUT of RFC 7252, doubled with each retransmission.
+pub const ACK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// MAX_RETRANSMIT of RFC 7252.
+pub const MAX_RETRANSMIT: u32 = 4;
+
+/// A request in one stage of its life.
+#[derive(Clone, Debug)]
+pub struct Exchange<S> {
+    /// Identifier of the present dispatch or of the next one.
+    pub id: JobId,
+    /// Fabric socket that delivered the request.
+    pub fabric: SocketAddr,
+    /// Flow of the request.
+    pub key: Key,
+    /// Route of the request.
+    pub route: Arc<Route>,
+    /// The request.
+    pub request: Request,
+    /// Time of arrival.
+    pub arrived: Duration,
+    /// Fence term in which the request arrived.
+    pub term: u32,
+    /// Whether the caller has had an empty ACK.
+    pub is_acknowledged: bool,
+    /// What belongs to the stage alone.
+    pub stage: S,
+}
+
+/// The request waits for its first submission, or for another one after a refusal.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Upstream that served the flow before the refusal, if it should again.
+    pub upstream: Option<UpstreamId>,
+    /// Earliest time of the submission.
+    pub not_before: Duration,
+}
+
+/// The dispatcher has the request.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// Upstream that will get it.
+    pub upstream: UpstreamId,
+}
+
+/// The upstream has the request, as far as is known.
+#[derive(Clone, Debug)]
+pub struct Dispatched {
+    /// Upstream that got it.
+    pub upstream: UpstreamId,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Message ID of the dispatch.
+    pub message_id: u16,
+    /// Time of the next retransmission to the upstream, for idempotent requests without a sign of arrival.
+    pub resend_at: Option<Duration>,
+}
+
+/// The response is a separate message that the caller has not acknowledged.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    /// The response.
+    pub reply: Reply,
+    /// Retransmissions so far.
+    pub retransmissions: u32,
+    /// Time of the next retransmission.
+    pub next: Duration,
+}
+
+impl<S> Exchange<S> {
+    /// Returns the time at which the request must have been answered.
+    pub fn deadline(&self) -> Duration {
+        self.arrived + self.route.deadline
+    }
+
+    /// Returns the time of the empty ACK, or `None` if none is due any more.
+    pub fn empty_ack_at(&self) -> Option<Duration> {
+        let is_due = self.request.kind == Kind::Confirmable && !self.is_acknowledged;
+        is_due.then(|| self.arrived + EMPTY_ACK)
+    }
+
+    /// Acknowledges the request without an answer.
+    pub fn acknowledge(&mut self) -> Reply {
+        self.is_acknowledged = true;
+        Reply {
+            kind: Kind::Acknowledgement,
+            message_id: self.request.message_id,
+            token: Token::default(),
+            body: Body::Empty,
+        }
+    }
+
+    /// Ends the life of the request; `message_id` identifies the response if it is not piggybacked.
+    pub fn finish(self, now: Duration, body: Body, message_id: u16) -> Exchange<Finished> {
+        let (kind, message_id) = match self.request.kind {
+            Kind::Confirmable if self.is_acknowledged => (Kind::Confirmable, message_id),
+            Kind::Confirmable => (Kind::Acknowledgement, self.request.message_id),
+            _ => (Kind::NonConfirmable, message_id),
+        };
+        let reply = Reply {
+            kind,
+            message_id,
+            token: self.request.token,
+            body,
+        };
+        self.with(Finished {
+            reply,
+            retransmissions: 0,
+            next: now + ACK_TIMEOUT,
+        })
+    }
+
+    fn with<T>(self, stage: T) -> Exchange<T> {
+        Exchange {
+            id: self.id,
+            fabric: self.fabric,
+            key: self.key,
+            route: self.route,
+            request: self.request,
+            arrived: self.arrived,
+            term: self.term,
+            is_acknowledged: self.is_acknowledged,
+            stage,
+        }
+    }
+}
+
+impl Exchange<Received> {
+    /// Hands the request to the dispatcher under a new identifier.
+    pub fn queue(mut self, id: JobId, upstream: UpstreamId) -> Exchange<Queued> {
+        self.id = id;
+        self.with(Queued { upstream })
+    }
+}
+
+impl Exchange<Queued> {
+    /// Returns what the dispatcher needs to know.
+    pub fn job(&self, established: bool) -> Job {
+        Job {
+            id: self.id,
+            flow: self.key.hash(),
+            upstream: self.stage.upstream,
+            class: self.request.class,
+            established,
+            arrived: self.arrived,
+            deadline: self.deadline(),
+            effect: self.request.effect,
+        }
+    }
+
+    /// Records the dispatch.
+    pub fn dispatch(
+        self,
+        now: Duration,
+        address: SocketAddr,
+        message_id: u16,
+    ) -> Exchange<Dispatched> {
+        let is_idempotent = self.request.effect == Effect::Idempotent;
+        let upstream = self.stage.upstream;
+        self.with(Dispatched {
+            upstream,
+            address,
+            message_id,
+            resend_at: is_idempotent.then(|| now + ACK_TIMEOUT),
+        })
+    }
+}
+
+impl Exchange<Queued> {
+    /// Returns to the first stage, since the upstream has been removed.
+    pub fn returned(self, not_before: Duration) -> Exchange<Received> {
+        self.with(Received {
+            upstream: None,
+            not_before,
+        })
+    }
+}
+
+impl Exchange<Dispatched> {
+    /// Returns to the first stage after a refusal, since the request certainly did not run.
+    pub fn refused(self, upstream: Option<UpstreamId>, not_before: Duration) -> Exchange<Received> {
+        self.with(Received {
+            upstream,
+            not_before,
+        })
+    }
+}
+
+impl Exchange<Finished> {
+    /// Returns whether the response is repeated until the caller acknowledges it.
+    pub fn is_separate(&self) -> bool {
+        self.stage.reply.kind == Kind::Confirmable
+    }
+
+    /// Returns the response for another transmission, or `None` after the last.
+    pub fn retransmit(&mut self, now: Duration) -> Option<Reply> {
+        if self.stage.retransmissions == MAX_RETRANSMIT {
+            return None;
+        }
+        self.stage.retransmissions += 1;
+        self.stage.next = now + ACK_TIMEOUT * 2u32.pow(self.stage.retransmissions);
+        Some(self.stage.reply.clone())
+    }
+}
--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -1,8 +1,16 @@
-//! Flow keys and their hash.
+//! Flow keys, their hash, and the entries of the flows that a balancer owns.
 
 use {
+    crate::{
+        handover::Epoch,
+        id::{Map, UpstreamId, VmId},
+    },
     serde::{Deserialize, Serialize},
-    std::net::{IpAddr, SocketAddr},
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -33,6 +41,133 @@
     }
 }
 
+/// Number of parts of the flow state, each under its own lock; a power of two.
+pub const SHARDS: usize = 64;
+
+/// What the owner knows about a flow; with its key 200 bytes or fewer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Fabric socket that last delivered a datagram of the flow.
+    pub fabric: Option<SocketAddr>,
+    /// Upstream that serves the flow, unless nothing could take it so far.
+    pub upstream: Option<UpstreamId>,
+    /// Time of the last request.
+    pub seen: Duration,
+    /// Time at which this balancer got the flow.
+    pub acquired: Duration,
+    /// Non-idempotent requests that arrive before this time end as unknown.
+    pub quarantined_until: Duration,
+    /// Balancer that has a copy of the entry, in case it is an exception; 0 for none.
+    pub copy: VmId,
+    /// Transfers of the flow so far.
+    pub epoch: Epoch,
+    /// Number of the view in which the flow was acquired.
+    pub view: u32,
+    /// Fence term in which the entry was last known to be the only one.
+    pub term: u32,
+    /// Whether the flow has had an answer.
+    pub established: bool,
+    /// Whether the entry was made while the home zone of the flow was unreachable.
+    pub acting: bool,
+    /// Whether this balancer has had the upstream in its tables.
+    pub known: bool,
+}
+
+/// The flows of one shard, bounded in number.
+#[derive(Debug)]
+pub struct Table {
+    entries: Map<Key, Entry>,
+    limit: usize,
+}
+
+/// State that is divided by flow hash, each part under its own lock.
+#[derive(Debug)]
+pub struct Shards<T> {
+    parts: Box<[Mutex<T>]>,
+}
+
+impl Table {
+    /// Creates a table of at most `limit` flows.
+    pub fn new(limit: usize) -> Table {
+        Table {
+            entries: Map::default(),
+            limit,
+        }
+    }
+
+    /// Returns the entry of a flow.
+    pub fn get(&self, key: &Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Returns the entry of a flow for a change.
+    pub fn get_mut(&mut self, key: &Key) -> Option<&mut Entry> {
+        self.entries.get_mut(key)
+    }
+
+    /// Returns whether another flow fits.
+    pub fn has_room(&self) -> bool {
+        self.entries.len() < self.limit
+    }
+
+    /// Adds or replaces the entry of a flow.
+    ///
+    /// Flows of other balancers are taken even above the limit, because refusing them would break them.
+    pub fn insert(&mut self, key: Key, entry: Entry) {
+        self.entries.insert(key, entry);
+    }
+
+    /// Removes the entry of a flow.
+    pub fn remove(&mut self, key: &Key) -> Option<Entry> {
+        self.entries.remove(key)
+    }
+
+    /// Removes and returns the flows whose last request is older than `oldest`.
+    pub fn expire(&mut self, oldest: Duration) -> Vec<(Key, Entry)> {
+        self.entries
+            .extract_if(|_, entry| entry.seen < oldest)
+            .collect()
+    }
+
+    /// Returns all flows in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Returns the number of flows.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no flows.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+impl<T> Shards<T> {
+    /// Creates the parts; `create` gets the index of each.
+    pub fn new(create: impl Fn(usize) -> T) -> Shards<T> {
+        let parts = (0..SHARDS).map(|index| Mutex::new(create(index)));
+        Shards {
+            parts: parts.collect(),
+        }
+    }
+
+    /// Locks the part with an index, modulo the number of parts.
+    pub fn lock(&self, index: usize) -> MutexGuard<'_, T> {
+        self.parts[index % SHARDS]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the index of the shard that holds a flow.
+pub fn shard_index(key: &Key) -> usize {
+    // The low bits select the slot of an owner table, so the high ones spread the flows of one owner.
+    (key.hash() >> (Hash::BITS - SHARDS.ilog2())) as usize
+}
+
 fn append(encoded: &mut [u8; ENCODED_KEY_BYTES], start: usize, address: SocketAddr) -> usize {
     let port_start = match address.ip() {
         IpAddr::V4(ip) => copy(encoded, start, &ip.octets()),
--- a/crates/policy/src/handover.rs
+++ b/crates/policy/src/handover.rs
@@ -1,17 +1,38 @@
-//! Messages that move flows between balancers.
+//! How flows move between balancers: the messages, and the order and pace of the background work.
 //!
-//! See [membership changes and handover](../../../docs/design.md#7-membership-changes-and-handover).
+//! A flow has at most one holder. A holder gives a flow up when it sends the entry, and keeps a copy only to repeat the
+//! message. See [membership changes and handover](../../../docs/design.md#7-membership-changes-and-handover).
 
 use {
     crate::{
         dedupe,
-        flow::Key,
-        id::{Incarnation, UpstreamId, VmId},
+        flow::{Key, SHARDS},
+        history::History,
+        id::{Incarnation, Map, UpstreamId, VmId},
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
+/// Background bytes per second; the share of handover in the 2 KB/s of control traffic.
+const RATE_BYTES: f64 = 600.0;
+
+/// Background bytes that may be sent at once.
+const BURST_BYTES: f64 = 65_536.0;
+
+/// Largest message in the background, so that it fits a datagram.
+pub(crate) const MESSAGE_BYTES: usize = 1_100;
+
+/// Time after which an unconfirmed message is repeated; also the limit for a grant.
+pub(crate) const REPEAT: Duration = Duration::from_millis(300);
+
+/// Claims to one balancer before the flow is quarantined.
+pub(crate) const CLAIMS: u32 = 3;
+
 /// Identifies a set of members or a set of tables by its content.
 pub type Digest = u64;
 
@@ -29,6 +50,8 @@
         key: Key,
         /// Start of the claiming balancer, which tells a restarted balancer from its predecessor.
         incarnation: Incarnation,
+        /// Address of the claiming balancer's peer socket, which an older view does not have.
+        address: SocketAddr,
     },
     /// Answers a claim.
     Grant {
@@ -51,7 +74,7 @@
         /// The flows.
         records: Vec<Record>,
     },
-    /// Confirms a push or a replication.
+    /// Confirms a push, a replication or an outcome.
     Stored {
         /// Number of the confirmed message.
         sequence: u64,
@@ -64,6 +87,8 @@
         pools: Digest,
         /// Start of the sending balancer.
         incarnation: Incarnation,
+        /// Whether the sender waits for the completion of the receiver.
+        awaits: bool,
     },
     /// Confirms a completion.
     Completed {
@@ -74,6 +99,8 @@
     },
     /// Tells the new owner how a request ended that was in flight when the flow moved.
     Outcome {
+        /// Number of the message, unique to its sender.
+        sequence: u64,
         /// The flow.
         key: Key,
         /// The request and its response.
@@ -92,16 +119,21 @@
         ask: Vec<VmId>,
         /// Remaining time in which a retransmission of a request that has run may arrive.
         quarantine: Duration,
+        /// Upstream of the flow according to a copy.
+        copy: Option<UpstreamId>,
     },
 }
 
 /// A flow as it moves from one balancer to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "WireRecord", into = "WireRecord")]
 pub struct Record {
     /// The flow.
     pub key: Key,
-    /// Its upstream.
-    pub upstream: UpstreamId,
+    /// Its upstream, unless nothing could take it so far.
+    pub upstream: Option<UpstreamId>,
+    /// Whether it has had an answer.
+    pub established: bool,
     /// Number of transfers, this one included.
     pub epoch: Epoch,
     /// Remaining time of its quarantine.
@@ -109,3 +141,271 @@
     /// Its recent requests.
     pub marks: Vec<dedupe::Mark>,
 }
+
+#[derive(Deserialize, Serialize)]
+struct WireRecord(
+    SocketAddr,
+    SocketAddr,
+    Option<UpstreamId>,
+    bool,
+    Epoch,
+    u32,
+    Vec<dedupe::Mark>,
+);
+
+/// Which flows a background pass sends, in this order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Class {
+    /// Flows of other balancers that are exceptions.
+    Exceptions,
+    /// Flows of other balancers with recent requests that must not run again.
+    Recent,
+    /// Copies of own exceptions for the successor.
+    Copies,
+    /// All other flows of other balancers.
+    Rest,
+}
+
+/// A bounded budget of bytes that refills at a constant rate.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    bytes: f64,
+    filled: Duration,
+}
+
+#[derive(Debug)]
+struct Outstanding {
+    to: VmId,
+    message: Message,
+    next: Duration,
+    expires: Duration,
+}
+
+/// The background work of one balancer.
+#[derive(Debug)]
+pub(crate) struct Machine {
+    pub(crate) bucket: Bucket,
+    pub(crate) copies: VecDeque<Key>,
+    incarnation: Incarnation,
+    sequence: u64,
+    outstanding: BTreeMap<u64, Outstanding>,
+    position: Option<(Class, usize)>,
+    is_announced: bool,
+    unconfirmed: BTreeSet<VmId>,
+    announce_at: Duration,
+    incarnations: Map<VmId, Incarnation>,
+}
+
+impl Record {
+    /// Returns an estimate of the encoded size, in bytes.
+    pub fn size(&self) -> usize {
+        const FIXED_BYTES: usize = 64;
+        FIXED_BYTES + self.marks.iter().map(dedupe::Mark::size).sum::<usize>()
+    }
+}
+
+impl From<WireRecord> for Record {
+    fn from(wire: WireRecord) -> Record {
+        let WireRecord(caller, service, upstream, established, epoch, quarantine, marks) = wire;
+        Record {
+            key: Key { caller, service },
+            upstream,
+            established,
+            epoch,
+            quarantine: Duration::from_millis(quarantine.into()),
+            marks,
+        }
+    }
+}
+
+impl From<Record> for WireRecord {
+    fn from(record: Record) -> WireRecord {
+        let Key { caller, service } = record.key;
+        let quarantine = record.quarantine.as_millis() as u32;
+        WireRecord(
+            caller,
+            service,
+            record.upstream,
+            record.established,
+            record.epoch,
+            quarantine,
+            record.marks,
+        )
+    }
+}
+
+impl Class {
+    fn next(self) -> Option<Class> {
+        match self {
+            Class::Exceptions => Some(Class::Recent),
+            Class::Recent => Some(Class::Copies),
+            Class::Copies => Some(Class::Rest),
+            Class::Rest => None,
+        }
+    }
+}
+
+impl Bucket {
+    fn new() -> Bucket {
+        Bucket {
+            bytes: BURST_BYTES,
+            filled: Duration::ZERO,
+        }
+    }
+
+    /// Returns the bytes that may be sent now.
+    pub(crate) fn available(&mut self, now: Duration) -> usize {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.bytes = (self.bytes + passed * RATE_BYTES).min(BURST_BYTES);
+        self.bytes.max(0.0) as usize
+    }
+
+    /// Takes bytes, which may leave a debt.
+    pub(crate) fn take(&mut self, bytes: usize) {
+        self.bytes -= bytes as f64;
+    }
+}
+
+impl Machine {
+    pub(crate) fn new(incarnation: Incarnation) -> Machine {
+        Machine {
+            bucket: Bucket::new(),
+            copies: VecDeque::new(),
+            incarnation,
+            sequence: 0,
+            outstanding: BTreeMap::new(),
+            position: None,
+            is_announced: false,
+            unconfirmed: BTreeSet::new(),
+            announce_at: Duration::ZERO,
+            incarnations: Map::default(),
+        }
+    }
+
+    /// Starts over, since flows may belong to other balancers than before.
+    pub(crate) fn restart(&mut self, history: &History, own: VmId) {
+        self.position = Some((Class::Exceptions, 0));
+        self.is_announced = false;
+        let others = history.current().members().iter().map(|member| member.id);
+        self.unconfirmed = others.filter(|&id| id != own).collect();
+    }
+
+    /// Looks for exceptions again, since the tables have changed.
+    pub(crate) fn copy_again(&mut self) {
+        if self.position.is_none_or(|(class, _)| class > Class::Recent) {
+            self.position = Some((Class::Copies, 0));
+        }
+    }
+
+    /// Returns the part of the flows that is to be sent next.
+    pub(crate) fn position(&self) -> Option<(Class, usize)> {
+        self.position
+    }
+
+    /// Moves on after everything at a position has been sent.
+    pub(crate) fn advance(&mut self, (class, shard): (Class, usize)) {
+        if self.position != Some((class, shard)) {
+            return;
+        }
+        self.position = match shard + 1 {
+            SHARDS => class.next().map(|class| (class, 0)),
+            shard => Some((class, shard)),
+        };
+    }
+
+    /// Returns whether no work is left.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.position.is_none() && self.outstanding.is_empty() && self.unconfirmed.is_empty()
+    }
+
+    /// Returns a number for the next message that is repeated until it is confirmed.
+    pub(crate) fn number(&mut self) -> u64 {
+        self.sequence += 1;
+        // The start of the balancer keeps a confirmation for its predecessor from matching.
+        self.incarnation << u32::BITS | self.sequence
+    }
+
+    /// Keeps a message for repetition.
+    pub(crate) fn keep(&mut self, now: Duration, sequence: u64, to: VmId, message: Message) {
+        // An outcome matters as long as the caller retransmits; flows must arrive however long it takes.
+        let expires = match message {
+            Message::Outcome { .. } => now + dedupe::QUARANTINE,
+            _ => Duration::MAX,
+        };
+        let outstanding = Outstanding {
+            to,
+            message,
+            next: now + REPEAT,
+            expires,
+        };
+        self.outstanding.insert(sequence, outstanding);
+    }
+
+    /// Removes a confirmed message.
+    pub(crate) fn stored(&mut self, from: VmId, sequence: u64) {
+        if self.outstanding.get(&sequence).map(|one| one.to) == Some(from) {
+            self.outstanding.remove(&sequence);
+        }
+    }
+
+    /// Returns the messages that are due for repetition.
+    pub(crate) fn repeats(&mut self, now: Duration) -> Vec<(VmId, Message)> {
+        self.outstanding.retain(|_, one| one.expires > now);
+        let due = self.outstanding.values_mut().filter(|one| one.next <= now);
+        due.map(|one| {
+            one.next = now + REPEAT;
+            (one.to, one.message.clone())
+        })
+        .collect()
+    }
+
+    /// Removes the messages to balancers that cannot be reached any more.
+    pub(crate) fn undeliverable(&mut self, now: Duration, history: &History) -> Vec<Message> {
+        let gone = self
+            .outstanding
+            .extract_if(.., |_, one| !history.reaches(now, one.to));
+        gone.map(|(_, one)| one.message).collect()
+    }
+
+    /// Returns whether everything that a claim could ask for has reached its new owner.
+    fn is_complete(&self) -> bool {
+        let is_past = self.position.is_none_or(|(class, _)| class > Class::Recent);
+        let is_push = |one: &Outstanding| matches!(one.message, Message::Push { .. });
+        is_past && !self.outstanding.values().any(is_push)
+    }
+
+    /// Returns the balancers that are to hear of the completion now.
+    pub(crate) fn announce(&mut self, now: Duration) -> Vec<VmId> {
+        if !self.is_announced && self.is_complete() {
+            self.is_announced = true;
+            self.announce_at = now;
+        }
+        if !self.is_announced || self.announce_at > now {
+            return Vec::new();
+        }
+        self.announce_at = now + REPEAT;
+        self.unconfirmed.iter().copied().collect()
+    }
+
+    /// Returns whether a completion has been sent for the present view.
+    pub(crate) fn is_announced(&self) -> bool {
+        self.is_announced
+    }
+
+    /// Records that a balancer has accepted the completion.
+    pub(crate) fn confirmed(&mut self, from: VmId) {
+        self.unconfirmed.remove(&from);
+    }
+
+    /// Stops waiting for balancers that cannot be reached any more.
+    pub(crate) fn forget_unreachable(&mut self, now: Duration, history: &History) {
+        self.unconfirmed.retain(|&id| history.reaches(now, id));
+    }
+
+    /// Returns whether a balancer has restarted since its last message.
+    pub(crate) fn meet(&mut self, id: VmId, incarnation: Incarnation) -> bool {
+        let known = self.incarnations.insert(id, incarnation);
+        known.is_some_and(|known| known != incarnation)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,17 +6,24 @@
 //!
 //! Start at [`balancer::Core`], which puts the modules together for one balancer.
 
+mod admit;
+mod answer;
+mod background;
 pub mod balancer;
 pub mod config;
+mod context;
 pub mod dedupe;
 pub mod dispatch;
 pub mod event;
 pub mod exchange;
 pub mod flow;
 pub mod handover;
+pub mod history;
 pub mod id;
 pub mod lookup;
 pub mod owner;
+mod shard;
+mod transfer;
 pub mod vm;
 pub mod zone;
 
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         flow::Hash,
+        handover::Digest,
         id::{Map, VmId},
         lookup::{self, Input, Table},
         zone::Rank,
     },
     std::net::SocketAddr,
+    xxhash_rust::xxh3::Xxh3,
 };
 
 /// A balancer that may own flows.
@@ -36,7 +38,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     zones: Vec<Zone>,
+    members: Vec<Member>,
+    leaving: Vec<Member>,
     addresses: Map<VmId, SocketAddr>,
+    digest: Digest,
 }
 
 #[derive(Clone, Debug)]
@@ -56,15 +61,17 @@
             .collect();
         names.sort_unstable();
         names.dedup();
+        let mut members = members.to_vec();
+        members.sort_by_key(|member| member.id);
         View {
+            digest: digest(&names, &members),
+            addresses: members.iter().map(|one| (one.id, one.address)).collect(),
             zones: names
                 .into_iter()
-                .map(|name| Zone::new(name, members))
-                .collect(),
-            addresses: members
-                .iter()
-                .map(|member| (member.id, member.address))
+                .map(|name| Zone::new(name, &members))
                 .collect(),
+            leaving: Vec::new(),
+            members,
         }
     }
 
@@ -72,9 +79,40 @@
     pub fn with_leaving(mut self, leaving: &[Member]) -> View {
         let addresses = leaving.iter().map(|member| (member.id, member.address));
         self.addresses.extend(addresses);
+        self.leaving = leaving.to_vec();
         self
     }
 
+    /// Returns the view that would follow if a member crashed.
+    pub fn without(&self, id: VmId) -> View {
+        let others = self.members.iter().filter(|member| member.id != id);
+        let others: Vec<Member> = others.cloned().collect();
+        let names = self.zones.iter().map(|zone| &*zone.name);
+        View::new(names, &others).with_leaving(&self.leaving)
+    }
+
+    /// Returns a value that two balancers share if their tables are equal.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// Returns the balancers that own flows, in ascending order of their identifiers.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns whether a balancer owns flows in this view.
+    pub fn is_member(&self, id: VmId) -> bool {
+        let found = self.members.binary_search_by_key(&id, |member| member.id);
+        found.is_ok()
+    }
+
+    /// Returns whether every zone of this view is also one of `other`.
+    pub fn zones_remain_in(&self, other: &View) -> bool {
+        let is_in = |zone: &Zone| other.zones.iter().any(|one| one.name == zone.name);
+        self.zones.iter().all(is_in)
+    }
+
     /// Returns who serves a flow.
     pub fn decide(&self, flow: Hash) -> Decision {
         let rank = Rank::new(self.zones.iter().map(|zone| &*zone.name), flow);
@@ -103,6 +141,19 @@
     }
 }
 
+fn digest(zones: &[&str], members: &[Member]) -> Digest {
+    let mut hasher = Xxh3::new();
+    for name in zones {
+        hasher.update(&(name.len() as u64).to_be_bytes());
+        hasher.update(name.as_bytes());
+    }
+    for member in members {
+        hasher.update(&member.id.to_be_bytes());
+        hasher.update(member.zone.as_bytes());
+    }
+    hasher.digest()
+}
+
 impl Zone {
     fn new(name: &str, members: &[Member]) -> Zone {
         let members = members.iter().filter(|member| member.zone == name);
--- /dev/null
+++ b/crates/policy/src/shard.rs
@@ -0,0 +1,217 @@
+//! The state of the flows of one shard.
+
+use {
+    crate::{
+        dedupe::{Limit, QUARANTINE, Window},
+        dispatch::JobId,
+        exchange::{Dispatched, Exchange, Finished, Queued, Received, Request},
+        flow::{Key, SHARDS, Table},
+        handover::{Epoch, Record},
+        id::{Map, Set, UpstreamId, VmId},
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// Requests that wait for the answer to a claim, per flow.
+const HELD_REQUESTS: usize = 16;
+
+/// Flows of a shard that wait for the answer to a claim.
+const CLAIMS: usize = 1_024;
+
+/// Time for which a record is kept after it was sent, in case the message is lost.
+pub(crate) const KEPT: Duration = Duration::from_secs(5);
+
+/// A request in any stage.
+#[derive(Debug)]
+pub(crate) enum Live {
+    Waiting(Exchange<Received>),
+    Queued(Exchange<Queued>),
+    Dispatched(Exchange<Dispatched>),
+    Separate(Exchange<Finished>),
+}
+
+/// A request that waits for the answer to a claim.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) fabric: SocketAddr,
+    pub(crate) key: Key,
+    pub(crate) request: Request,
+    pub(crate) arrived: Duration,
+}
+
+/// A search for the holder of a flow.
+#[derive(Debug, Default)]
+pub(crate) struct Claim {
+    /// Balancers that have not answered, and how often they were asked.
+    pub(crate) waiting: BTreeMap<VmId, u32>,
+    pub(crate) asked: Set<VmId>,
+    pub(crate) next: Duration,
+    pub(crate) quarantined_until: Duration,
+    pub(crate) copy: Option<UpstreamId>,
+    pub(crate) held: Vec<Held>,
+}
+
+/// Where a flow went.
+#[derive(Debug)]
+pub(crate) struct Moved {
+    pub(crate) to: VmId,
+    pub(crate) epoch: Epoch,
+    /// Number of the view in which the flow was given up.
+    pub(crate) view: u32,
+    pub(crate) given: Duration,
+    pub(crate) used: Duration,
+    /// The entry, or `None` if this balancer had nothing.
+    pub(crate) record: Option<Record>,
+}
+
+/// A copy of an exception of another balancer.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) stored: Duration,
+}
+
+/// All state of the flows of one shard.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub(crate) flows: Table,
+    pub(crate) windows: Map<Key, Window>,
+    pub(crate) live: Map<JobId, Live>,
+    pub(crate) separate: Map<(Key, u16), JobId>,
+    pub(crate) claims: Map<Key, Claim>,
+    pub(crate) moved: Map<Key, Moved>,
+    pub(crate) replicas: Map<Key, Replica>,
+    pub(crate) sweep_at: Duration,
+    timers: BinaryHeap<Reverse<(Duration, JobId)>>,
+    prefix: JobId,
+    sequence: u32,
+    message_id: u16,
+}
+
+impl Live {
+    pub(crate) fn due(&self) -> Duration {
+        match self {
+            Live::Waiting(one) => first(one).min(one.stage.not_before),
+            Live::Queued(one) => first(one),
+            Live::Dispatched(one) => first(one).min(one.stage.resend_at.unwrap_or(Duration::MAX)),
+            Live::Separate(one) => one.stage.next,
+        }
+    }
+}
+
+fn first<S>(exchange: &Exchange<S>) -> Duration {
+    let empty_ack_at = exchange.empty_ack_at().unwrap_or(Duration::MAX);
+    exchange.deadline().min(empty_ack_at)
+}
+
+impl Claim {
+    /// Holds a request; a retransmission takes the place of the original.
+    pub(crate) fn hold(&mut self, held: Held) -> bool {
+        let message_id = held.request.message_id;
+        let is_known = |one: &Held| one.request.message_id == message_id;
+        if self.held.iter().any(is_known) {
+            return true;
+        }
+        let fits = self.held.len() < HELD_REQUESTS;
+        if fits {
+            self.held.push(held);
+        }
+        fits
+    }
+
+    /// Adds balancers that have not been asked, and returns them.
+    pub(crate) fn ask(&mut self, ids: &[VmId]) -> Vec<VmId> {
+        let ids = ids.iter().copied();
+        let new: Vec<VmId> = ids.filter(|&id| self.asked.insert(id)).collect();
+        self.waiting.extend(new.iter().map(|&id| (id, 1)));
+        new
+    }
+}
+
+impl Shard {
+    pub(crate) fn new(index: usize, incarnation: u64, seed: u64, limit: usize) -> Shard {
+        Shard {
+            flows: Table::new(limit),
+            windows: Map::default(),
+            live: Map::default(),
+            separate: Map::default(),
+            claims: Map::default(),
+            moved: Map::default(),
+            replicas: Map::default(),
+            sweep_at: Duration::ZERO,
+            timers: BinaryHeap::new(),
+            prefix: incarnation << u32::BITS | index as u64,
+            sequence: 0,
+            message_id: (seed as u16).wrapping_mul(31).wrapping_add(index as u16),
+        }
+    }
+
+    /// Returns an identifier that names this shard and is not used again in this incarnation.
+    pub(crate) fn next_id(&mut self) -> JobId {
+        self.sequence = self.sequence.wrapping_add(1);
+        let step = SHARDS.ilog2();
+        self.prefix | u64::from(self.sequence << step)
+    }
+
+    /// Returns a Message ID of the owner.
+    pub(crate) fn next_message_id(&mut self) -> u16 {
+        self.message_id = self.message_id.wrapping_add(1);
+        self.message_id
+    }
+
+    /// Stores a request and the time at which it needs attention.
+    pub(crate) fn put(&mut self, id: JobId, live: Live) {
+        self.timers.push(Reverse((live.due(), id)));
+        self.live.insert(id, live);
+    }
+
+    /// Returns a request that needs attention.
+    pub(crate) fn pop_due(&mut self, now: Duration) -> Option<JobId> {
+        while let Some(&Reverse((due, id))) = self.timers.peek()
+            && due <= now
+        {
+            self.timers.pop();
+            if self.live.get(&id).is_some_and(|live| live.due() <= now) {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Returns whether another claim may be started.
+    pub(crate) fn may_claim(&self) -> bool {
+        self.claims.len() < CLAIMS
+    }
+
+    /// Removes what has outlived its use, and returns the flows that ended.
+    pub(crate) fn sweep(
+        &mut self,
+        now: Duration,
+        idle: Duration,
+        limit: &Limit,
+    ) -> Vec<(Key, Option<UpstreamId>)> {
+        let oldest = now.saturating_sub(idle);
+        let ended = self.flows.expire(oldest);
+        self.windows.retain(|_, window| {
+            window.expire(now, limit);
+            !window.is_empty()
+        });
+        self.moved
+            .retain(|_, moved| now < moved.used + QUARANTINE + KEPT);
+        for moved in self
+            .moved
+            .values_mut()
+            .filter(|one| one.given + KEPT <= now)
+        {
+            moved.record = None;
+        }
+        self.replicas.retain(|_, replica| replica.stored >= oldest);
+        let ended = ended.into_iter();
+        ended.map(|(key, entry)| (key, entry.upstream)).collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/harness/caller.rs
@@ -0,0 +1,203 @@
+//! Callers that follow the retransmission rules of RFC 7252.
+
+use {
+    super::{FABRIC, Happening, Request, World, acknowledgement},
+    rand::Rng,
+    skylarkflow_policy::{
+        balancer::Event,
+        exchange::{self, Body, Effect, Kind, Reply, Token},
+        flow::Key,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// What a caller was told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Told {
+    Answered,
+    NotRun,
+    Unknown,
+    Nothing,
+}
+
+/// A caller with one flow and at most one request at a time.
+pub struct Caller {
+    pub key: Key,
+    pub message_id: u16,
+    pub current: Option<Current>,
+    pub upstream: Option<SocketAddr>,
+}
+
+#[derive(Clone)]
+pub struct Current {
+    pub id: u64,
+    pub request: exchange::Request,
+    pub timeout: Duration,
+    pub attempts: u32,
+    pub is_acknowledged: bool,
+}
+
+const EXCHANGE: Duration = Duration::from_secs(93);
+
+impl World {
+    pub fn add_caller(&mut self, key: Key) {
+        let caller = self.callers.len();
+        self.callers.push(Caller {
+            key,
+            message_id: self.rng.random(),
+            current: None,
+            upstream: None,
+        });
+        let at = self.now + self.think.mul_f64(self.rng.random_range(0.0..2.0));
+        self.schedule(at, Happening::Think { caller });
+    }
+
+    pub fn think(&mut self, caller: usize) {
+        if self.now >= self.stop_at {
+            return;
+        }
+        let id = self.requests.len() as u64 + 1;
+        let effect = match self.rng.random_bool(self.posts) {
+            true => Effect::NonIdempotent,
+            false => Effect::Idempotent,
+        };
+        let timeout = Duration::from_secs(2).mul_f64(self.rng.random_range(1.0..1.5));
+        let one = &mut self.callers[caller];
+        one.message_id = one.message_id.wrapping_add(1);
+        one.current = Some(Current {
+            id,
+            request: exchange::Request {
+                kind: Kind::Confirmable,
+                message_id: one.message_id,
+                token: Token::from(id),
+                effect,
+                class: 0,
+                bytes: id.to_be_bytes().to_vec(),
+            },
+            timeout,
+            attempts: 0,
+            is_acknowledged: false,
+        });
+        let request = Request {
+            caller,
+            effect,
+            runs: 0,
+            refusals: 0,
+            dispatches: 0,
+            copies: 0,
+            told: None,
+            not_run: false,
+        };
+        self.requests.insert(id, request);
+        self.retransmit(caller, id);
+        self.schedule(self.now + EXCHANGE, Happening::GiveUp { caller, id });
+    }
+
+    pub fn retransmit(&mut self, caller: usize, id: u64) {
+        let one = &mut self.callers[caller];
+        let key = one.key;
+        let Some(current) = one.current.as_mut().filter(|current| current.id == id) else {
+            return;
+        };
+        if current.is_acknowledged || current.attempts > exchange::MAX_RETRANSMIT {
+            return;
+        }
+        current.attempts += 1;
+        let wait = current.timeout;
+        current.timeout *= 2;
+        let event = Event::Request {
+            fabric: FABRIC.parse().unwrap(),
+            key,
+            request: current.request.clone(),
+        };
+        self.schedule(self.now + wait, Happening::Retransmit { caller, id });
+        self.note_copy(key, id);
+        self.spray(event);
+    }
+
+    /// Delivers a datagram of a caller to any balancer.
+    pub fn spray(&mut self, event: Event) {
+        if self.fabric.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.fabric.len());
+        let to = self.fabric[index];
+        self.transmit(Happening::Datagram { to, event, hops: 0 });
+    }
+
+    /// Counts what a plain hash at any balancer and blind retry would do with a request.
+    fn note_copy(&mut self, key: Key, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.copies += 1;
+        }
+        let index = self.rng.random_range(0..self.fabric.len().max(1));
+        let Some(node) = self.fabric.get(index).and_then(|id| self.nodes.get(id)) else {
+            return;
+        };
+        let tables = node.core.tables();
+        let chosen = tables.routes.get(&key.service).and_then(|route| {
+            let pool = tables.pools.get(&route.pool_id())?;
+            let upstream = pool.upstream(pool.table.get(key.hash())?)?;
+            Some(upstream.address)
+        });
+        let Some(chosen) = chosen else {
+            return;
+        };
+        let former = self.plain.insert(key, chosen);
+        if former.is_some_and(|former| former != chosen && self.is_in_service(former)) {
+            self.plain_broken.insert(key);
+        }
+    }
+
+    pub fn told(&mut self, caller: usize, reply: Reply) {
+        let key = self.callers[caller].key;
+        if reply.kind == Kind::Confirmable {
+            self.spray(acknowledgement(key, reply.message_id));
+        }
+        let Some(current) = &mut self.callers[caller].current else {
+            return;
+        };
+        if reply.body == Body::Empty {
+            current.is_acknowledged |= reply.message_id == current.request.message_id;
+            return;
+        }
+        if reply.token != current.request.token {
+            return;
+        }
+        let id = current.id;
+        let told = match &reply.body {
+            Body::Answer(bytes) => {
+                if bytes[..] != id.to_be_bytes() {
+                    self.count("wrong responses");
+                }
+                Told::Answered
+            }
+            Body::NotRun { .. } => Told::NotRun,
+            Body::Unknown | Body::Empty => Told::Unknown,
+        };
+        self.conclude(caller, id, told);
+    }
+
+    pub fn give_up(&mut self, caller: usize, id: u64) {
+        let current = &self.callers[caller].current;
+        if current.as_ref().is_some_and(|current| current.id == id) {
+            self.conclude(caller, id, Told::Nothing);
+        }
+    }
+
+    fn conclude(&mut self, caller: usize, id: u64, told: Told) {
+        self.callers[caller].current = None;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.told = Some(told);
+            request.not_run |= told == Told::NotRun;
+        }
+        self.count(match told {
+            Told::Answered => "answered",
+            Told::NotRun => "did not run",
+            Told::Unknown => "outcome unknown",
+            Told::Nothing => "no answer",
+        });
+        let at = self.now + self.think.mul_f64(self.rng.random_range(0.2..1.8));
+        self.schedule(at, Happening::Think { caller });
+    }
+}
