--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,9 +7,13 @@
 //! Start at [`balancer::Core`], which puts the modules together for one balancer.
 
 pub mod admission;
+mod admit;
+mod answer;
+mod background;
 pub mod balancer;
 pub mod class;
 pub mod config;
+mod context;
 pub mod dedupe;
 pub mod dispatch;
 pub mod event;
@@ -17,6 +21,7 @@
 pub mod flow;
 pub mod handover;
 pub mod health;
+pub mod history;
 pub mod id;
 pub mod lookup;
 pub mod members;
@@ -25,6 +30,8 @@
 pub mod pool;
 pub mod queue;
 pub mod retry;
+mod shard;
+mod transfer;
 pub mod vm;
 pub mod zone;
 
