Add membership, the fence and the control node

Cause: the tables need one member list on every balancer, and dispatches of non-idempotent requests need proof that a majority of the zone still counts this balancer as alive. Change: member::Machine (SWIM with relayed probes, news, digests of the member list, links between zones), quorum::Base, deployment::Deployment and node::Node; scenarios in virtual time over CBOR-encoded messages. An answer counts from the time its probe was sent, and not at all if the answering member takes this one for dead. Voters join one at a time after all voters have reported the addition; a balancer needs a majority with and without it until then. Ruled out: counting any received message as heard (a member that is not heard itself would hold); admission by each balancer alone (joins on one side of a partition would form a second majority).

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,12 +7,20 @@
 //! Start at [`balancer::Core`], which puts the modules together for one balancer.
 
 pub mod balancer;
+pub mod budget;
 pub mod config;
+pub mod deployment;
 pub mod exchange;
 pub mod flow;
 pub mod id;
 pub mod lookup;
+pub mod member;
+pub mod node;
 pub mod owner;
+pub mod quorum;
+pub mod roster;
+pub mod spread;
+pub mod swim;
 pub mod vm;
 pub mod zone;
 
--- /dev/null
+++ b/crates/policy/src/quorum.rs
@@ -0,0 +1,217 @@
+//! The fence: whether a balancer has recently been heard by a majority of its zone.
+//!
+//! A voter counts as heard at the time at which an answered probe was *sent*, so a one-way path or a pause of this
+//! process never extends the window. See [the fence](../../../docs/design.md#6-requests).
+
+use {
+    crate::id::{Map, Set, VmId},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeSet, time::Duration},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time for which an answered probe counts; shorter than the time to declare a member dead.
+pub const WINDOW: Duration = Duration::from_secs(2);
+
+/// The part of a base that each probe and acknowledgement carries.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u32, Option<VmId>)", into = "(u32, Option<VmId>)")]
+pub struct Ballot {
+    /// Digest of the voters; 0 while the base is not formed.
+    pub digest: u32,
+    /// Member that is about to become a voter.
+    pub joining: Option<VmId>,
+}
+
+/// The voters of one zone as one balancer knows them.
+///
+/// Voters are added one at a time, and only after every voter has reported the same addition. Until then, the balancer
+/// needs a majority both with and without the addition. The voter sets of all balancers therefore form a chain, and
+/// neighbours in the chain have no disjoint majorities.
+#[derive(Clone, Debug)]
+pub struct Base {
+    me: VmId,
+    formed: bool,
+    voters: BTreeSet<VmId>,
+    joining: Option<VmId>,
+    removed: Set<VmId>,
+    heard: Map<VmId, Heard>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Duration,
+    ballot: Ballot,
+}
+
+impl Base {
+    /// Creates a base without voters, which is fenced until it is formed.
+    pub fn new(me: VmId) -> Base {
+        Base {
+            me,
+            formed: false,
+            voters: BTreeSet::new(),
+            joining: None,
+            removed: Set::default(),
+            heard: Map::default(),
+        }
+    }
+
+    /// Returns whether the balancer may dispatch non-idempotent requests.
+    pub fn holds(&self, now: Duration) -> bool {
+        let enough = |joining: Option<VmId>| {
+            let voters = self.voters.iter().copied().chain(joining);
+            let (mut all, mut heard) = (0, 0);
+            for voter in voters {
+                all += 1;
+                heard += usize::from(self.is_heard(voter, now));
+            }
+            heard * 2 > all
+        };
+        self.formed && enough(None) && (self.joining.is_none() || enough(self.joining))
+    }
+
+    /// Returns whether the voters are known.
+    pub fn is_formed(&self) -> bool {
+        self.formed
+    }
+
+    /// Returns the voters in ascending order.
+    pub fn voters(&self) -> impl Iterator<Item = VmId> + '_ {
+        self.voters.iter().copied()
+    }
+
+    /// Returns what this balancer reports to its peers.
+    pub fn ballot(&self) -> Ballot {
+        Ballot {
+            digest: if self.formed {
+                digest(&self.voters, None)
+            } else {
+                0
+            },
+            joining: self.joining,
+        }
+    }
+
+    /// Records that a member answered a probe that was sent at `sent`.
+    pub fn heard(&mut self, member: VmId, sent: Duration, ballot: Ballot) {
+        let heard = self
+            .heard
+            .entry(member)
+            .or_insert(Heard { at: sent, ballot });
+        heard.at = heard.at.max(sent);
+        heard.ballot = ballot;
+    }
+
+    /// Forms the base of a starting zone from the VM list.
+    ///
+    /// Every named member must have answered a probe without a base of its own. Balancers that start on one side of
+    /// a partition therefore never form a second base.
+    pub fn form(&mut self, now: Duration, named: impl IntoIterator<Item = VmId>) {
+        let named: BTreeSet<VmId> = named.into_iter().collect();
+        let unformed = |voter: &VmId| {
+            *voter == self.me
+                || self.is_heard(*voter, now) && {
+                    let theirs = self.heard[voter].ballot.digest;
+                    theirs == 0 || theirs == digest(&named, None)
+                }
+        };
+        if !self.formed && named.contains(&self.me) && named.iter().all(unformed) {
+            self.voters = named;
+            self.formed = true;
+        }
+    }
+
+    /// Takes over the voters of a member of the same zone.
+    pub fn adopt(&mut self, voters: &[VmId]) {
+        if voters.is_empty() {
+            return;
+        }
+        let voters = voters.iter().filter(|voter| !self.removed.contains(voter));
+        self.voters.extend(voters);
+        self.formed = true;
+        self.joining = self.joining.filter(|it| !self.voters.contains(it));
+    }
+
+    /// Removes a member that left by message or that the VM list no longer names.
+    pub fn remove(&mut self, member: VmId) {
+        self.voters.remove(&member);
+        self.joining = self.joining.filter(|&it| it != member);
+        self.removed.insert(member);
+    }
+
+    /// Advances the admission of the live members of the zone.
+    pub fn admit(&mut self, now: Duration, live: impl IntoIterator<Item = VmId>) {
+        let mut candidates = Vec::new();
+        for member in live {
+            self.removed.remove(&member);
+            if !self.voters.contains(&member) {
+                candidates.push(member);
+            }
+        }
+        if !self.formed {
+            return;
+        }
+        let mine = self.ballot().digest;
+        let reported = self.voters.iter().filter_map(|voter| {
+            let ballot = self.heard.get(voter)?.ballot;
+            ballot.joining.filter(|_| ballot.digest == mine)
+        });
+        let reported = reported.filter(|it| !self.removed.contains(it)).min();
+        // Concurrent additions resolve to the lowest id. A balancer never returns to a higher one, so an addition that
+        // some voter has not reported can not have been completed by anybody.
+        self.joining = match (self.joining, reported) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (None, None) if self.holds(now) => candidates.into_iter().min(),
+            (own, other) => own.or(other),
+        };
+        self.complete();
+    }
+
+    fn complete(&mut self) {
+        let Some(joining) = self.joining else {
+            return;
+        };
+        let before = self.ballot();
+        let after = digest(&self.voters, Some(joining));
+        let agrees = |voter: VmId| {
+            voter == self.me
+                || self
+                    .heard
+                    .get(&voter)
+                    .is_some_and(|heard| heard.ballot == before || heard.ballot.digest == after)
+        };
+        if self.voters().chain([joining]).all(agrees) {
+            self.voters.insert(joining);
+            self.joining = None;
+        }
+    }
+
+    fn is_heard(&self, voter: VmId, now: Duration) -> bool {
+        voter == self.me
+            || self
+                .heard
+                .get(&voter)
+                .is_some_and(|heard| now.saturating_sub(heard.at) < WINDOW)
+    }
+}
+
+impl From<(u32, Option<VmId>)> for Ballot {
+    fn from((digest, joining): (u32, Option<VmId>)) -> Ballot {
+        Ballot { digest, joining }
+    }
+}
+
+impl From<Ballot> for (u32, Option<VmId>) {
+    fn from(ballot: Ballot) -> (u32, Option<VmId>) {
+        (ballot.digest, ballot.joining)
+    }
+}
+
+fn digest(voters: &BTreeSet<VmId>, joining: Option<VmId>) -> u32 {
+    let hash = |id: VmId| xxh3_64(&id.to_be_bytes()) as u32;
+    let joining = joining.filter(|it| !voters.contains(it));
+    let all = voters.iter().copied().chain(joining);
+    // 0 stands for a base that is not formed.
+    all.fold(0, |sum, id| sum ^ hash(id)).max(1)
+}
--- /dev/null
+++ b/crates/policy/src/roster.rs
@@ -0,0 +1,307 @@
+//! The member list of one balancer and the news that it has yet to pass on.
+
+use {
+    crate::{
+        id::{Incarnation, VmId},
+        member::{Identity, Member, State, Update},
+    },
+    std::{collections::BTreeMap, time::Duration},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Members for each bucket of a digest.
+const MEMBERS_PER_BUCKET: usize = 16;
+
+/// Most buckets of a digest, which bounds its size to 320 bytes.
+const MAX_BUCKETS: usize = 64;
+
+/// News are sent at most this many times the logarithm of the number of members.
+const SENDS_PER_LOG: f64 = 3.0;
+
+/// How a balancer came to know an update.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// Spread as news.
+    News,
+    /// Part of a member list, which may be old.
+    List,
+}
+
+/// The members that a balancer knows.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: VmId,
+    suspicion: Duration,
+    members: BTreeMap<VmId, Member>,
+    news: Vec<News>,
+}
+
+#[derive(Clone, Debug)]
+struct News {
+    update: Update,
+    sent: usize,
+}
+
+impl Roster {
+    /// Creates a list that names only this balancer.
+    pub fn new(me: &Identity, suspicion: Duration) -> Roster {
+        let mut roster = Roster {
+            me: me.id,
+            suspicion,
+            members: BTreeMap::new(),
+            news: Vec::new(),
+        };
+        let own = Update {
+            id: me.id,
+            incarnation: me.incarnation,
+            state: State::Alive,
+            place: Some(me.place.clone()),
+        };
+        roster.insert(Duration::ZERO, own);
+        roster
+    }
+
+    /// Returns the members in ascending order of their identifiers, dead ones included.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns a member.
+    pub fn get(&self, id: VmId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
+    /// Returns this balancer.
+    ///
+    /// # Panics
+    ///
+    /// Never, since the list always names it.
+    pub fn me(&self) -> &Member {
+        &self.members[&self.me]
+    }
+
+    /// Merges an update and returns whether the members that own flows, or one of their places, changed.
+    ///
+    /// `answering` says that the member has just answered this balancer, so that a declaration as dead by others only
+    /// makes it suspect here.
+    pub fn apply(
+        &mut self,
+        now: Duration,
+        update: Update,
+        source: Source,
+        answering: bool,
+    ) -> bool {
+        if update.id == self.me {
+            self.refute(now, &update);
+            return false;
+        }
+        let Some(member) = self.members.get(&update.id) else {
+            let known = update.place.is_some() && update.state.is_live();
+            if known {
+                self.insert(now, update);
+            }
+            return known;
+        };
+        let newer = update.incarnation > member.incarnation;
+        let same = update.incarnation == member.incarnation;
+        let worse = same && update.state > member.state;
+        if !newer && !worse {
+            return false;
+        }
+        let doubted = source == Source::List || answering;
+        if update.state == State::Dead && member.state.is_live() && doubted {
+            return self.suspect(now, update.id, update.incarnation);
+        }
+        if update.state == State::Suspect {
+            return self.suspect(now, update.id, update.incarnation);
+        }
+        self.insert(now, update)
+    }
+
+    /// Makes a member suspect and returns whether that is a change.
+    pub fn suspect(&mut self, now: Duration, id: VmId, incarnation: Incarnation) -> bool {
+        let suspicion = self.suspicion;
+        let Some(member) = self.members.get_mut(&id) else {
+            return false;
+        };
+        if !member.state.is_live() && incarnation <= member.incarnation {
+            return false;
+        }
+        let revived = !member.state.is_live();
+        if member.deadline.is_none() || incarnation > member.incarnation {
+            member.deadline = Some(now + suspicion);
+            let update = Update {
+                id,
+                incarnation,
+                state: State::Suspect,
+                place: None,
+            };
+            member.incarnation = incarnation;
+            // A leaving member keeps its state, so that it does not get flows again.
+            if member.state != State::Leaving {
+                member.state = State::Suspect;
+            }
+            self.announce(update);
+        }
+        revived
+    }
+
+    /// Declares members dead whose suspicion has lasted long enough and returns whether there were any.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let due = |member: &&Member| member.deadline.is_some_and(|deadline| deadline <= now);
+        let due: Vec<(VmId, Incarnation)> = self
+            .members
+            .values()
+            .filter(due)
+            .map(|member| (member.id, member.incarnation))
+            .collect();
+        for &(id, incarnation) in &due {
+            let update = Update {
+                id,
+                incarnation,
+                state: State::Dead,
+                place: None,
+            };
+            self.insert(now, update);
+        }
+        !due.is_empty()
+    }
+
+    /// Starts all suspicions again, since this process was paused and may have missed the refutations.
+    pub fn restart_suspicions(&mut self, now: Duration) {
+        for member in self.members.values_mut() {
+            member.deadline = member.deadline.map(|_| now + self.suspicion);
+        }
+    }
+
+    /// Removes a member.
+    pub fn forget(&mut self, id: VmId) {
+        self.members.remove(&id);
+    }
+
+    /// Changes the state of this balancer.
+    pub fn set_own_state(&mut self, now: Duration, state: State) {
+        let me = self.me();
+        let update = Update {
+            incarnation: me.incarnation + 1,
+            state,
+            ..me.update()
+        };
+        self.insert(now, update);
+    }
+
+    /// Takes the least often sent news that fit into a number of bytes.
+    pub fn take_news(&mut self, mut bytes: usize) -> Vec<Update> {
+        let limit = self.send_limit();
+        self.news.sort_by_key(|news| news.sent);
+        let mut updates = Vec::new();
+        for news in &mut self.news {
+            let size = news.update.encoded_bytes();
+            if size > bytes {
+                break;
+            }
+            bytes -= size;
+            news.sent += 1;
+            updates.push(news.update.clone());
+        }
+        self.news.retain(|news| news.sent < limit);
+        updates
+    }
+
+    /// Returns whether there are news to pass on.
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
+    /// Returns the digests of the live members.
+    pub fn digests(&self) -> Vec<u32> {
+        let buckets = self.members.len().div_ceil(MEMBERS_PER_BUCKET);
+        self.digests_of(buckets.clamp(1, MAX_BUCKETS))
+    }
+
+    /// Returns the members of the buckets whose digests differ from those of another member.
+    pub fn differing(&self, digests: &[u32]) -> Vec<Update> {
+        if digests.is_empty() || digests.len() > MAX_BUCKETS {
+            return Vec::new();
+        }
+        let own = self.digests_of(digests.len());
+        let differs = |id: VmId| {
+            let at = bucket(id, own.len());
+            own[at] != digests[at]
+        };
+        self.members
+            .values()
+            .filter(|member| differs(member.id))
+            .map(Member::update)
+            .collect()
+    }
+
+    fn digests_of(&self, buckets: usize) -> Vec<u32> {
+        let mut digests = vec![0; buckets];
+        for member in self.members.values().filter(|it| it.state.is_live()) {
+            let leaving = u64::from(member.state == State::Leaving);
+            let mut bytes = [0; 16];
+            bytes[..8].copy_from_slice(&member.id.to_be_bytes());
+            bytes[8..].copy_from_slice(&(member.incarnation * 2 + leaving).to_be_bytes());
+            digests[bucket(member.id, buckets)] ^= xxh3_64(&bytes) as u32;
+        }
+        digests
+    }
+
+    fn refute(&mut self, now: Duration, update: &Update) {
+        let me = self.me();
+        let outdated = update.incarnation > me.incarnation
+            || update.incarnation == me.incarnation && update.state > me.state;
+        if outdated && me.state != State::Left {
+            let update = Update {
+                incarnation: update.incarnation + 1,
+                ..me.update()
+            };
+            self.insert(now, update);
+        }
+    }
+
+    /// Replaces what is known about a member and returns whether owners or places changed.
+    fn insert(&mut self, now: Duration, update: Update) -> bool {
+        let id = update.id;
+        let before = self.members.get(&id).cloned();
+        let known = before.as_ref().map(|member| member.place.clone());
+        let Some(place) = update.place.clone().or(known) else {
+            return false;
+        };
+        let member = Member {
+            id,
+            place,
+            incarnation: update.incarnation,
+            state: update.state,
+            deadline: None,
+            since: now,
+        };
+        let changed = before.is_none_or(|before| {
+            before.place != member.place
+                || before.state.owns_flows() != member.state.owns_flows()
+                || before.state.is_live() != member.state.is_live()
+        });
+        let mut update = update;
+        if update.state.is_live() {
+            update.place = Some(member.place.clone());
+        }
+        self.members.insert(id, member);
+        self.announce(update);
+        changed
+    }
+
+    fn announce(&mut self, update: Update) {
+        self.news.retain(|news| news.update.id != update.id);
+        self.news.push(News { update, sent: 0 });
+    }
+
+    fn send_limit(&self) -> usize {
+        let members = self.members.len() as f64;
+        ((SENDS_PER_LOG * (members + 1.0).ln()).ceil() as usize).max(1)
+    }
+}
+
+fn bucket(id: VmId, buckets: usize) -> usize {
+    (id % buckets as u64) as usize
+}
--- /dev/null
+++ b/crates/policy/tests/control.rs
@@ -0,0 +1,286 @@
+//! Scenarios of membership and the fence, written in `tests/scenarios/`.
+//!
+//! A script has one command per line. A command that checks a bound prints the figure, and `EXCEEDED` or `VIOLATED`
+//! where the bound does not hold.
+
+mod network;
+
+use {
+    network::Network,
+    skylarkflow_policy::{
+        id,
+        node::{Event, Settings},
+    },
+    std::{collections::BTreeSet, fmt::Write, time::Duration},
+};
+
+const STEP: Duration = Duration::from_millis(50);
+
+/// Time after a bound for which a converged state has to last.
+const SETTLED: Duration = Duration::from_secs(3);
+
+struct Script {
+    network: Network,
+    /// Balancers that the others are right to miss.
+    without: BTreeSet<String>,
+    /// Balancers whose own view is not checked.
+    unchecked: BTreeSet<String>,
+    output: String,
+}
+
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        file.run(|case| {
+            assert_eq!(case.directive, "script", "unknown directive");
+            run(&case.input)
+        });
+    });
+}
+
+fn run(input: &str) -> String {
+    let mut script = Script {
+        network: Network::new(Settings::default(), 7),
+        without: BTreeSet::new(),
+        unchecked: BTreeSet::new(),
+        output: String::new(),
+    };
+    for line in input.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        script.command(words[0], &words[1..]);
+    }
+    script.output
+}
+
+fn seconds(word: &str) -> Duration {
+    Duration::from_secs_f64(word.parse().expect("a number of seconds"))
+}
+
+impl Script {
+    fn command(&mut self, command: &str, words: &[&str]) {
+        let names = || words.iter().map(|&word| word.to_owned());
+        match command {
+            "start" => self.start(words),
+            "run" => self.run(seconds(words[0])),
+            "loss" => self.network.loss = words[0].parse().expect("a share"),
+            "crash" => {
+                let names: Vec<String> = words.iter().flat_map(|word| self.select(word)).collect();
+                names.iter().for_each(|name| self.network.crash(name));
+            }
+            "unlist" => names().for_each(|name| self.network.unlist(&name)),
+            "leave" => names().for_each(|name| {
+                self.network.event(&name, Event::Leave);
+                self.without.insert(name);
+            }),
+            "stop" => names().for_each(|name| {
+                self.network.event(&name, Event::Stop);
+                self.network.crash(&name);
+            }),
+            "pause" => names().for_each(|name| self.network.host(&name).paused = true),
+            "resume" => names().for_each(|name| self.resume(&name)),
+            "without" => self.without = names().collect(),
+            "unchecked" => self.unchecked = names().collect(),
+            "cut" => self.cut(words[0], words[1]),
+            "partition" => {
+                self.cut(words[0], words[1]);
+                self.cut(words[1], words[0]);
+            }
+            "heal" => self.network.cuts.clear(),
+            "stale-list" => self.network.stale = Some(self.network.vms.clone()),
+            "empty-list" => self.network.stale = Some(Vec::new()),
+            "current-list" => self.network.stale = None,
+            "platform-outage" => {
+                self.network.platform_cuts = self.network.hosts.keys().cloned().collect();
+            }
+            "platform-back" => self.network.platform_cuts.clear(),
+            "converge" => self.converge(seconds(words[0])),
+            "steady" => self.steady(seconds(words[0])),
+            "fence" => self.fence(seconds(words[0])),
+            "holding" => self.holding(),
+            "bytes" => self.bytes(
+                seconds(words[0]),
+                words[1].parse().expect("bytes per second"),
+            ),
+            _ => panic!("unknown command {command}"),
+        }
+    }
+
+    /// Starts balancers: a name, or a zone with a range as in `a:1-3`.
+    fn start(&mut self, words: &[&str]) {
+        for word in words {
+            for name in self.select(word) {
+                let zone: String = name.chars().take_while(|c| c.is_alphabetic()).collect();
+                self.network.start(&name, &zone);
+                self.without.remove(&name);
+            }
+        }
+    }
+
+    /// Returns the names that a word stands for: a list, a range as in `a:1-3`, or all balancers of a zone.
+    fn select(&self, word: &str) -> Vec<String> {
+        let mut names = Vec::new();
+        for part in word.split(',') {
+            if let Some((zone, range)) = part.split_once(':') {
+                let (first, last) = range.split_once('-').expect("a range");
+                let range = first.parse::<u32>().unwrap()..=last.parse::<u32>().unwrap();
+                names.extend(range.map(|number| format!("{zone}{number}")));
+            } else if part.ends_with(|c: char| c.is_numeric()) {
+                names.push(part.to_owned());
+            } else {
+                let hosts = self.network.hosts.iter();
+                let zone = hosts.filter(|(_, host)| host.zone == part || part == "*");
+                names.extend(zone.map(|(name, _)| name.clone()));
+            }
+        }
+        names
+    }
+
+    fn cut(&mut self, from: &str, to: &str) {
+        let (from, to) = (self.select(from), self.select(to));
+        for one in &from {
+            for other in to.iter().filter(|&other| other != one) {
+                let cut = (one.clone(), other.clone());
+                self.network.cuts.insert(cut);
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        self.network.run_until(self.network.now + time);
+    }
+
+    fn resume(&mut self, name: &str) {
+        let now = self.network.now;
+        let host = self.network.host(name);
+        host.paused = false;
+        let verdict = if host.node.holds(now) {
+            "VIOLATED: holds"
+        } else {
+            "fenced"
+        };
+        writeln!(self.output, "{name} on wake-up: {verdict}").unwrap();
+    }
+
+    /// Returns whether a balancer should name another one as an owner.
+    fn is_expected(&self, name: &str, other: &str) -> bool {
+        let hosts = &self.network.hosts;
+        let zone = &hosts[other].zone;
+        if !hosts[other].running || self.without.contains(other) {
+            return false;
+        }
+        let mut peers = hosts
+            .iter()
+            .filter(|(_, it)| it.zone == *zone && it.running);
+        let via = |peer: &str| self.network.connected(name, peer);
+        if hosts[name].zone != *zone {
+            return peers.any(|(peer, _)| via(peer));
+        }
+        peers.any(|(peer, _)| via(peer) && self.network.connected(peer, other))
+    }
+
+    /// Counts owners that a view lacks or wrongly names, over all views.
+    fn differences(&self) -> usize {
+        let hosts = &self.network.hosts;
+        let checked = hosts
+            .iter()
+            .filter(|(name, host)| host.running && !host.paused && !self.unchecked.contains(*name));
+        let differences = checked.map(|(name, host)| {
+            let expected = hosts.keys().filter(|other| self.is_expected(name, other));
+            let expected: BTreeSet<u64> = expected.map(|other| id::from_name(other)).collect();
+            expected.symmetric_difference(&host.owners).count()
+        });
+        differences.sum()
+    }
+
+    fn converge(&mut self, bound: Duration) {
+        let start = self.network.now;
+        let mut last = Duration::ZERO;
+        while self.network.now < start + bound + SETTLED {
+            self.run(STEP);
+            if self.differences() > 0 {
+                last = self.network.now - start;
+            }
+        }
+        let verdict = if last > bound { " EXCEEDED" } else { "" };
+        let last = last.as_secs_f64();
+        writeln!(self.output, "views equal after {last:.2} s{verdict}").unwrap();
+    }
+
+    /// Counts differences over a time in which there should be none.
+    fn steady(&mut self, time: Duration) {
+        let end = self.network.now + time;
+        let mut most = 0;
+        while self.network.now < end {
+            self.run(STEP);
+            most = most.max(self.differences());
+        }
+        let verdict = if most > 0 { " VIOLATED" } else { "" };
+        writeln!(self.output, "wrong view entries: {most}{verdict}").unwrap();
+    }
+
+    /// Counts instants at which two sides of a partition hold, or at which a member holds that a holder declared dead.
+    fn fence(&mut self, time: Duration) {
+        let start = self.network.now;
+        let (mut both, mut dead, mut first) = (0, 0, None);
+        while self.network.now < start + time {
+            self.run(Duration::from_millis(20));
+            let now = self.network.now;
+            let hosts = self
+                .network
+                .hosts
+                .iter()
+                .filter(|(_, it)| it.running && !it.paused);
+            let holding: Vec<_> = hosts.filter(|(_, host)| host.node.holds(now)).collect();
+            let pairs = holding
+                .iter()
+                .flat_map(|a| holding.iter().map(move |b| (a, b)));
+            for ((one, a), (other, b)) in pairs.filter(|((_, a), (_, b))| a.zone == b.zone) {
+                let cut = !self.network.connected(one, other);
+                both += usize::from(cut && now > start + Duration::from_secs(2));
+                let id = b.node.member().me().id;
+                dead += usize::from(!a.owners.is_empty() && !a.owners.contains(&id));
+            }
+            if holding.len() < self.network.hosts.values().filter(|it| it.running).count() {
+                first = first.or(Some(now - start));
+            }
+        }
+        let verdict = if both + dead > 0 { " VIOLATED" } else { "" };
+        let first = first.map_or("never".to_owned(), |it| {
+            format!("after {:.2} s", it.as_secs_f64())
+        });
+        writeln!(
+            self.output,
+            "both sides hold: {both}, holds while declared dead: {dead}, first fenced {first}{verdict}"
+        )
+        .unwrap();
+    }
+
+    fn holding(&mut self) {
+        let now = self.network.now;
+        let hosts = self.network.hosts.iter();
+        let holding = hosts.filter(|(_, host)| host.running && host.node.holds(now));
+        let names: Vec<&str> = holding.map(|(name, _)| &**name).collect();
+        writeln!(self.output, "holding: {}", names.join(" ")).unwrap();
+    }
+
+    fn bytes(&mut self, time: Duration, bound: usize) {
+        self.network
+            .hosts
+            .values_mut()
+            .for_each(|host| host.bytes = 0);
+        self.run(time);
+        let running = self.network.hosts.values().filter(|host| host.running);
+        let rates: Vec<f64> = running
+            .map(|it| it.bytes as f64 / time.as_secs_f64())
+            .collect();
+        let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+        let most = rates.iter().copied().fold(0.0, f64::max);
+        let verdict = if most > bound as f64 { " EXCEEDED" } else { "" };
+        let count = rates.len();
+        writeln!(
+            self.output,
+            "{count} balancers: {mean:.0} bytes/s on average, {most:.0} at most{verdict}"
+        )
+        .unwrap();
+    }
+}
