--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -8,14 +8,16 @@
 /// Settings of a [`Limit`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Smallest limit, in requests. Below one request the limit is kept by pauses between requests.
-    pub least: f64,
     /// Growth of the limit per answer, in requests, divided by the limit.
     pub increase: f64,
     /// Factor of the limit at a refusal or at high latency.
     pub decrease: f64,
+    /// Part of their share of the slots that long requests keep when short ones are slow.
+    pub long_floor: f64,
     /// High latency, as a multiple of the latency without load.
     pub high: f64,
+    /// Highest multiple that one sample counts as, so that one request behind a long one is not taken for overload.
+    pub highest_sample: f64,
     /// Weight of the newest sample in the mean latency.
     pub smoothing: f64,
     /// Time in which a cold upstream reaches its full share.
@@ -26,22 +28,31 @@
     pub report_age: Duration,
 }
 
-/// What a finished request says about its upstream.
+/// How a request that held a slot ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The upstream answered.
+    Answered,
+    /// The upstream refused the request, or no answer came.
+    Failed,
+}
+
+/// The range of a [`Limit`], in requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Signal {
-    /// An answer, with its latency as a multiple of the latency without load.
-    Answered(f64),
-    /// The upstream refused the request.
-    Refused,
-    /// No answer came.
-    TimedOut,
+pub struct Range {
+    /// Lowest value. Below one request the limit is kept by pauses between requests.
+    pub least: f64,
+    /// Lowest value that high latency leads to.
+    pub floor: f64,
+    /// Highest value.
+    pub ceiling: f64,
 }
 
 /// An adaptive limit with additive increase and multiplicative decrease.
 #[derive(Clone, Debug)]
 pub struct Limit {
     settings: Settings,
-    slots: u32,
+    range: Range,
     limit: f64,
     ratio: f64,
     cold_since: Option<Duration>,
@@ -53,11 +64,12 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            least: 0.05,
             increase: 0.1,
             decrease: 0.8,
+            long_floor: 0.5,
             high: 2.0,
-            smoothing: 0.2,
+            highest_sample: 4.0,
+            smoothing: 0.1,
             slow_start: Duration::from_secs(10),
             cold_share: 0.1,
             report_age: Duration::from_secs(3),
@@ -65,13 +77,37 @@
     }
 }
 
+impl Range {
+    /// Returns the range for short requests at one of `balancers` balancers.
+    ///
+    /// One request in flight bounds itself, and less of it does not help a short request that waits behind long ones.
+    pub fn short(slots: u32, balancers: u32) -> Range {
+        Range {
+            least: share(slots, balancers).min(1.0),
+            floor: 1.0,
+            ceiling: f64::from(slots),
+        }
+    }
+
+    /// Returns the range for long requests, which may hold all slots but one.
+    pub fn long(settings: &Settings, slots: u32, balancers: u32) -> Range {
+        let share = share(slots.saturating_sub(1).max(1), balancers);
+        let floor = share * settings.long_floor;
+        Range {
+            least: floor,
+            floor,
+            ceiling: share.max(1.0),
+        }
+    }
+}
+
 impl Limit {
-    /// Creates the limit of one of `balancers` balancers for an upstream with `slots` slots.
-    pub fn new(settings: Settings, slots: u32, balancers: u32) -> Limit {
+    /// Creates a limit.
+    pub fn new(settings: Settings, range: Range) -> Limit {
         Limit {
             settings,
-            slots,
-            limit: share(slots, balancers),
+            range,
+            limit: range.floor.max(1.0).min(range.ceiling),
             ratio: 1.0,
             cold_since: None,
             decreased: Duration::ZERO,
@@ -81,12 +117,9 @@
     }
 
     /// Takes a changed number of slots or balancers into account.
-    ///
-    /// A smaller share lowers the limit at once. A larger one is found by the increase, since the other balancers learn
-    /// of the change at another time.
-    pub fn set_share(&mut self, slots: u32, balancers: u32) {
-        self.slots = slots;
-        self.limit = self.limit.min(share(slots, balancers));
+    pub fn set_range(&mut self, range: Range) {
+        self.range = range;
+        self.limit = self.limit.min(range.ceiling);
     }
 
     /// Starts the slow start of a cold upstream.
@@ -107,29 +140,18 @@
 
     /// Returns the limit, in requests.
     pub fn value(&self, now: Duration) -> f64 {
-        (self.limit * self.warmth(now)).max(self.settings.least)
-    }
-
-    /// Returns the mean latency as a multiple of the latency without load.
-    pub fn ratio(&self) -> f64 {
-        self.ratio
+        self.limit * self.warmth(now)
     }
 
     /// Returns whether one more request may be sent.
     pub fn allows(&self, now: Duration, in_flight: u32) -> bool {
-        now >= self.paused_until && f64::from(in_flight) < self.value(now).max(1.0).round()
-    }
-
-    /// Returns the time until which a limit below one request pauses the upstream.
-    pub fn paused_until(&self) -> Duration {
-        self.paused_until
+        now >= self.paused_until && f64::from(in_flight) < self.value(now).max(1.0).floor()
     }
 
-    /// Adapts the limit to a finished request that took `latency`.
-    pub fn finished(&mut self, now: Duration, latency: Duration, signal: Signal) {
-        match signal {
-            Signal::Answered(ratio) => self.answered(now, latency, ratio),
-            Signal::Refused | Signal::TimedOut => self.lower(now, latency),
+    /// Adapts the limit to the end of a request, where `latency` is the usual one without load.
+    pub fn finished(&mut self, now: Duration, latency: Duration, end: End) {
+        if end == End::Failed {
+            self.lower(now, latency, self.range.least);
         }
         let value = self.value(now);
         if value < 1.0 {
@@ -137,6 +159,18 @@
         }
     }
 
+    /// Adapts the limit to a latency, given as a multiple of the usual one without load.
+    pub fn sense(&mut self, now: Duration, latency: Duration, ratio: f64) {
+        let sample = ratio.min(self.settings.highest_sample);
+        self.ratio += self.settings.smoothing * (sample - self.ratio);
+        if self.ratio > self.settings.high {
+            self.lower(now, latency, self.range.floor);
+        } else if now >= self.busy_until || self.limit < self.range.floor {
+            let grown = self.limit + self.settings.increase / self.limit.max(1.0);
+            self.limit = grown.min(self.range.ceiling);
+        }
+    }
+
     /// Takes note of an upstream's own report that requests wait there.
     ///
     /// A report only holds the limit; it neither raises nor lowers it, since upstreams misreport.
@@ -144,26 +178,17 @@
         self.busy_until = now + self.settings.report_age;
     }
 
-    fn answered(&mut self, now: Duration, latency: Duration, ratio: f64) {
-        self.ratio += self.settings.smoothing * (ratio - self.ratio);
-        if self.ratio > self.settings.high {
-            self.lower(now, latency);
-        } else if now >= self.busy_until || self.limit < 1.0 {
-            let grown = self.limit + self.settings.increase / self.limit.max(1.0);
-            self.limit = grown.min(f64::from(self.slots));
-        }
-    }
-
-    fn lower(&mut self, now: Duration, latency: Duration) {
+    fn lower(&mut self, now: Duration, latency: Duration, floor: f64) {
         // Requests that were in flight together report the same overload, which counts once.
         if now.saturating_sub(self.decreased) < latency {
             return;
         }
         self.decreased = now;
-        self.limit = (self.limit * self.settings.decrease).max(self.settings.least);
+        let lowered = self.limit * self.settings.decrease;
+        self.limit = lowered.max(floor.min(self.limit));
     }
 }
 
 fn share(slots: u32, balancers: u32) -> f64 {
-    (f64::from(slots) / f64::from(balancers.max(1))).max(1.0)
+    f64::from(slots) / f64::from(balancers.max(1))
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -21,6 +21,8 @@
     pub pause: Duration,
     /// Longest such time.
     pub longest_pause: Duration,
+    /// Share of the pool that has to look down for all upstreams to be used.
+    pub open_above: f64,
 }
 
 /// Something that was seen of an upstream.
@@ -81,6 +83,7 @@
             report_age: Duration::from_secs(5),
             pause: Duration::from_secs(2),
             longest_pause: Duration::from_secs(30),
+            open_above: 0.5,
         }
     }
 }
@@ -113,11 +116,11 @@
         record.is_some_and(|record| record.down.is_some())
     }
 
-    /// Returns whether all upstreams are used, since more than half look down.
+    /// Returns whether all upstreams are used, since too many look down.
     ///
     /// The observer may be the one that is cut off.
     pub fn fails_open(&self) -> bool {
-        self.down * 2 > self.records.len()
+        self.down as f64 > self.records.len() as f64 * self.settings.open_above
     }
 
     /// Records a signal and returns the change that it causes.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,10 +21,12 @@
 pub mod lookup;
 pub mod members;
 pub mod owner;
+pub mod path;
 pub mod placement;
 pub mod pool;
 pub mod queue;
 pub mod retry;
+pub mod upstream;
 pub mod vm;
 pub mod zone;
 
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        admission::{self, Limit},
+        admission::{self, End, Range},
         class::{self, Estimator, Kind},
         config::Resolved,
         dispatch::{self, Job, JobId, JobResult, Placement, Verdict},
@@ -15,8 +15,9 @@
         id::{Map, Set, UpstreamId},
         members::Members,
         placement::{self, Room},
-        queue::{Lane, Running},
+        queue::Running,
         retry::{self, Budget},
+        upstream::Upstream,
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{collections::VecDeque, sync::Arc, time::Duration},
@@ -44,8 +45,11 @@
     /// times, so the rest is kept as a reserve.
     pub patience: f64,
     /// Age of a short request in flight, as a multiple of the latency without load, from which on its upstream seems
-    /// occupied by long requests and gets no further one.
+    /// occupied by long requests and gets no further request.
     pub blocked: f64,
+    /// Longest time that a long request waits for a short one to be answered quickly, as a multiple of the latency of
+    /// long requests without load. Such an answer shows that long requests do not hold all slots.
+    pub hold: f64,
     /// Seed of the jitter.
     pub seed: u64,
 }
@@ -100,15 +104,6 @@
     result: JobResult,
 }
 
-#[derive(Debug)]
-struct Upstream {
-    weight: u32,
-    flows: u32,
-    is_drained: bool,
-    is_marked: bool,
-    lanes: [Lane; 2],
-}
-
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
@@ -120,25 +115,12 @@
             queue: 64,
             patience: 0.5,
             blocked: 4.0,
+            hold: 3.0,
             seed: 0,
         }
     }
 }
 
-impl Upstream {
-    fn is_draining(&self) -> bool {
-        self.is_drained || self.is_marked || self.weight == 0
-    }
-
-    fn waiting(&self) -> usize {
-        self.lanes.iter().map(Lane::waiting).sum()
-    }
-
-    fn lane(&mut self, kind: Kind) -> &mut Lane {
-        &mut self.lanes[kind.index()]
-    }
-}
-
 impl Dispatcher {
     /// Creates the dispatcher of a pool whose upstreams are warm.
     pub fn new(settings: Settings, pool: &Arc<Resolved>, balancers: u32) -> Dispatcher {
@@ -186,7 +168,7 @@
                     && waiting > 0
                     && is_recent
                 {
-                    entry.lane(Kind::Short).limit.report_busy(now);
+                    entry.lane_mut(Kind::Short).limit.report_busy(now);
                 }
             }
         }
@@ -205,7 +187,7 @@
             self.health.add(id);
             if !self.upstreams.contains_key(&id) {
                 added.push(id);
-                let upstream = self.create();
+                let upstream = Upstream::new(self.settings.admission, self.ranges());
                 self.upstreams.insert(id, upstream);
             }
             if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -219,24 +201,18 @@
         added
     }
 
-    fn create(&self) -> Upstream {
+    fn ranges(&self) -> [Range; 2] {
         let slots = self.pool.pool.slots;
-        let limit = |slots| Limit::new(self.settings.admission, slots, self.balancers);
-        Upstream {
-            weight: 0,
-            flows: 0,
-            is_drained: false,
-            is_marked: false,
-            lanes: [Lane::new(limit(slots)), Lane::new(limit(long_slots(slots)))],
-        }
+        [
+            Range::short(slots, self.balancers),
+            Range::long(&self.settings.admission, slots, self.balancers),
+        ]
     }
 
     fn share(&mut self) {
-        let slots = self.pool.pool.slots;
+        let ranges = self.ranges();
         for upstream in self.upstreams.values_mut() {
-            let [short, long] = &mut upstream.lanes;
-            short.limit.set_share(slots, self.balancers);
-            long.limit.set_share(long_slots(slots), self.balancers);
+            upstream.set_ranges(ranges);
         }
     }
 
@@ -291,10 +267,7 @@
 
     fn start_cold(&mut self, now: Duration, id: UpstreamId) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream
-                .lanes
-                .iter_mut()
-                .for_each(|lane| lane.limit.start_cold(now));
+            upstream.start_cold(now);
         }
     }
 
@@ -316,7 +289,7 @@
             f64::from(upstream.weight),
             members.weight() as f64,
         );
-        let load = f64::from(upstream.flows + 1) / (limit * upstream.lanes[0].limit.warmth(now));
+        let load = f64::from(upstream.flows + 1) / (limit * upstream.warmth(now));
         if load <= 1.0 {
             Room::Spare
         } else {
@@ -328,7 +301,7 @@
         let Some(upstream) = self.upstreams.get(&job.upstream) else {
             return Err(1);
         };
-        let lane = &upstream.lanes[kind.index()];
+        let lane = upstream.lane(kind);
         let wait = lane.wait(now, job);
         let left = job.deadline.saturating_sub(now).as_secs_f64();
         let is_late = wait > left * self.settings.patience;
@@ -341,13 +314,12 @@
     /// Sends what the limits of an upstream allow and refuses what can no longer be answered in time.
     fn advance(&mut self, now: Duration, id: UpstreamId, verdicts: &mut Vec<Verdict>) {
         self.refuse_late(now, id, verdicts);
-        while let Some(job) = self.next(now, id, Kind::Short) {
-            self.start(now, Kind::Short, job, verdicts);
-        }
-        while !self.is_blocked(now, id)
-            && let Some(job) = self.next(now, id, Kind::Long)
-        {
-            self.start(now, Kind::Long, job, verdicts);
+        for kind in [Kind::Short, Kind::Long] {
+            while self.may_send(now, id, kind)
+                && let Some(job) = self.next(now, id, kind)
+            {
+                self.start(now, kind, job, verdicts);
+            }
         }
         let waiting = self.upstreams.get(&id).map_or(0, Upstream::waiting);
         if waiting == 0 {
@@ -359,24 +331,28 @@
     }
 
     fn drop_removed(&mut self, id: UpstreamId) {
-        let is_idle = |upstream: &Upstream| upstream.lanes.iter().all(|lane| lane.in_flight() == 0);
-        if !self.pool.positions.contains_key(&id) && self.upstreams.get(&id).is_some_and(is_idle) {
+        let is_removed = !self.pool.positions.contains_key(&id);
+        if is_removed && self.upstreams.get(&id).is_some_and(Upstream::is_idle) {
             self.upstreams.remove(&id);
         }
     }
 
     fn next(&mut self, now: Duration, id: UpstreamId, kind: Kind) -> Option<Job> {
-        self.upstreams.get_mut(&id)?.lane(kind).pop(now)
+        self.upstreams.get_mut(&id)?.lane_mut(kind).pop(now)
     }
 
-    fn is_blocked(&self, now: Duration, id: UpstreamId) -> bool {
-        let Some(no_load) = self.classes.no_load(Kind::Short) else {
-            return false;
+    fn may_send(&self, now: Duration, id: UpstreamId, kind: Kind) -> bool {
+        let Some(short) = self.classes.no_load(Kind::Short) else {
+            return true;
         };
-        let age = Duration::from_secs_f64(no_load * self.settings.blocked);
-        let since = now.saturating_sub(age);
+        let quick = Duration::from_secs_f64(short * self.settings.blocked);
+        let long = self.classes.no_load(Kind::Long).unwrap_or(0.0);
+        let hold = Duration::from_secs_f64(long * self.settings.hold);
         let upstream = self.upstreams.get(&id);
-        upstream.is_some_and(|upstream| upstream.lanes[0].has_run_since(since))
+        upstream.is_some_and(|upstream| match kind {
+            Kind::Short => !upstream.is_blocked(now, quick),
+            Kind::Long => upstream.takes_long(now, quick, hold),
+        })
     }
 
     fn start(&mut self, now: Duration, kind: Kind, job: Job, verdicts: &mut Vec<Verdict>) {
@@ -386,7 +362,7 @@
         }
         self.jobs.insert(job.id, (job.upstream, kind));
         if let Some(upstream) = self.upstreams.get_mut(&job.upstream) {
-            upstream.lane(kind).start(now, job);
+            upstream.lane_mut(kind).start(now, job);
         }
     }
 
@@ -395,11 +371,7 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
-        let mut late = Vec::new();
-        for lane in &mut upstream.lanes {
-            let reserve = Duration::from_secs_f64(lane.latency().unwrap_or(0.0));
-            lane.expire(|job| !is_usable || now + reserve > job.deadline, &mut late);
-        }
+        let late = upstream.expire(now, is_usable);
         for id in late {
             self.jobs.remove(&id);
             verdicts.push(Verdict::Refuse { id, max_age: 1 });
@@ -407,38 +379,40 @@
     }
 
     fn settle(&mut self, now: Duration, kind: Kind, running: &Running, result: JobResult) {
-        let latency = now.saturating_sub(running.since);
-        let id = running.job.upstream;
-        let signal = match result {
-            JobResult::Answered => self.answered(now, kind, running, latency),
-            JobResult::Refused => admission::Signal::Refused,
-            JobResult::TimedOut => admission::Signal::TimedOut,
-            JobResult::Cancelled => return,
-        };
         let seen = match result {
+            JobResult::Answered | JobResult::Refused => health::Signal::Answered,
             JobResult::TimedOut => health::Signal::TimedOut,
-            _ => health::Signal::Answered,
+            JobResult::Cancelled => return,
         };
+        let id = running.job.upstream;
         self.observe(now, id, seen);
+        let latency = now.saturating_sub(running.since);
+        let end = match result {
+            JobResult::Answered => End::Answered,
+            _ => End::Failed,
+        };
+        if end == End::Answered {
+            self.answered(now, kind, running, latency);
+        }
+        let usual = self.classes.no_load(kind);
+        let usual = usual.map_or(latency, Duration::from_secs_f64);
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.lane(kind).limit.finished(now, latency, signal);
+            upstream.lane_mut(kind).limit.finished(now, usual, end);
         }
     }
 
-    fn answered(
-        &mut self,
-        now: Duration,
-        kind: Kind,
-        running: &Running,
-        latency: Duration,
-    ) -> admission::Signal {
+    fn answered(&mut self, now: Duration, kind: Kind, running: &Running, latency: Duration) {
         let seconds = latency.as_secs_f64();
         self.classes.observe(now, running.job.class, latency);
-        if let Some(upstream) = self.upstreams.get_mut(&running.job.upstream) {
-            upstream.lane(kind).observe(seconds);
+        let usual = self.classes.no_load(Kind::Short).unwrap_or(seconds);
+        let Some(upstream) = self.upstreams.get_mut(&running.job.upstream) else {
+            return;
+        };
+        upstream.lane_mut(kind).observe(seconds);
+        if kind == Kind::Short {
+            let usual = Duration::from_secs_f64(usual);
+            upstream.sense(now, latency, usual, self.settings.blocked);
         }
-        let no_load = self.classes.no_load(kind).unwrap_or(seconds);
-        admission::Signal::Answered(seconds / no_load)
     }
 
     fn forget_ended(&mut self, now: Duration) {
@@ -507,7 +481,7 @@
         let id = job.upstream;
         self.jobs.insert(job.id, (id, kind));
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.lane(kind).push(job);
+            upstream.lane_mut(kind).push(job);
         }
         self.advance(now, id, verdicts);
     }
@@ -525,7 +499,7 @@
         let Some(upstream) = self.upstreams.get_mut(&at) else {
             return;
         };
-        if let Some(running) = upstream.lane(kind).finish(id) {
+        if let Some(running) = upstream.lane_mut(kind).finish(id) {
             self.settle(now, kind, &running, result);
             if result != JobResult::Answered {
                 self.ended.push_back(Ended {
@@ -535,7 +509,7 @@
                 });
             }
         } else {
-            upstream.lane(kind).cancel(id);
+            upstream.lane_mut(kind).cancel(id);
         }
         self.advance(now, at, verdicts);
     }
@@ -574,10 +548,6 @@
     }
 }
 
-fn long_slots(slots: u32) -> u32 {
-    slots.saturating_sub(1).max(1)
-}
-
 fn max_age(wait: f64) -> u32 {
     (wait.ceil() as u32).clamp(1, 30)
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -83,6 +83,11 @@
         established.or_else(|| self.new.pop_front())
     }
 
+    /// Returns the request that is next.
+    pub fn front(&self) -> Option<&Job> {
+        self.established.front().or_else(|| self.new.front())
+    }
+
     /// Removes a waiting request and returns whether it was there.
     pub fn cancel(&mut self, id: JobId) -> bool {
         let before = self.waiting();
@@ -91,16 +96,14 @@
         self.waiting() < before
     }
 
-    /// Removes the waiting requests that `is_late` selects.
+    /// Removes the waiting requests that `is_late` selects, up to the first of each queue that it does not select.
+    ///
+    /// Requests wait in the order of their arrival, so those behind it have more time left.
     pub fn expire(&mut self, is_late: impl Fn(&Job) -> bool, late: &mut Vec<JobId>) {
         for queue in [&mut self.established, &mut self.new] {
-            queue.retain(|job| {
-                let is_kept = !is_late(job);
-                if !is_kept {
-                    late.push(job.id);
-                }
-                is_kept
-            });
+            while let Some(job) = queue.pop_front_if(|job| is_late(job)) {
+                late.push(job.id);
+            }
         }
     }
 
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -11,7 +11,7 @@
 /// Settings of a [`Budget`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Retries per request.
+    /// Retries per request; less than the bound of 0.1, which leaves room for the saved ones.
     pub ratio: f64,
     /// Most retries that quiet times may save up.
     pub burst: f64,
@@ -31,8 +31,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            ratio: 0.1,
-            burst: 50.0,
+            ratio: 0.09,
+            burst: 10.0,
             first: Duration::from_millis(100),
             longest: Duration::from_secs(5),
         }
