--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod lookup;
 pub mod members;
 pub mod owner;
+pub mod path;
 pub mod placement;
 pub mod pool;
 pub mod queue;
@@ -42,6 +43,7 @@
 pub mod roster;
 pub mod spread;
 pub mod swim;
+pub mod upstream;
 pub mod vm;
 pub mod zone;
 
