Add the check, apply, status and drain commands

Cause: operators could only write JSON to the store by hand. Change: four commands with examples in their help, text and JSON output and exit codes 0, 1 (failed), 2 (findings or arguments) and 3 (conflict). Apply keeps the generations that the operator has seen in a file beside the tables, asks given balancers for the generations in force, and looks at the store as a whole after its writes. Status marks balancers that differ; drain stops one balancer and waits. Ruled out: argh::from_env, because it ends with 1 for wrong arguments; taking the store's present state as the base of an operator without a base file, because his first apply then reverts the others' edits. Before: without the look after the writes, two operators who put one address into two services at the same moment both get exit code 0; without the base, the operator who has not seen an edit reverts it with exit code 0. Conclusion: each of the five cases that end with a conflict or a failure leaves the other edit in the store.

--- /dev/null
+++ b/crates/operator/src/status.rs
@@ -0,0 +1,343 @@
+//! What is in force on each balancer, and where balancers differ.
+
+use {
+    crate::{
+        client::Client,
+        wire::{Phase, Pool, Route, State},
+    },
+    serde::Serialize,
+    skylarkflow_policy::id,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::{self, Write},
+        net::SocketAddr,
+    },
+};
+
+/// State of a member that takes part in the lookup tables.
+const ALIVE: &str = "alive";
+
+/// One look at several balancers.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Balancers in the order of their names; those that do not answer last.
+    pub balancers: Vec<Balancer>,
+    /// Upstreams that a balancer sees as draining or down.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// What one balancer has in force.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Balancer {
+    /// Address of its administration API.
+    pub address: SocketAddr,
+    /// Name of the VM; empty if it does not answer.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// How far a planned stop is; absent if it does not answer.
+    pub phase: Option<Phase>,
+    /// Whether it may dispatch non-idempotent requests.
+    pub fence_held: bool,
+    /// Members that it sees alive.
+    pub alive: usize,
+    /// Flow entries.
+    pub flows: u64,
+    /// Hash of the configuration in force; equal on balancers with equal configuration.
+    pub digest: String,
+    /// Generation in force by key.
+    pub generations: BTreeMap<String, u64>,
+    /// What differs from the other balancers, or why it does not answer.
+    pub remarks: Vec<String>,
+}
+
+/// An upstream that is not in full service.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Upstream {
+    /// Name of the pool.
+    pub pool: String,
+    /// Name of the upstream.
+    pub name: String,
+    /// Balancers that see it draining.
+    pub draining: Vec<String>,
+    /// Balancers that see it down.
+    pub down: Vec<String>,
+    /// Flows on all balancers that answered.
+    pub flows: u64,
+}
+
+/// Asks all balancers at once.
+pub async fn collect(clients: Vec<Client>) -> Report {
+    let ask =
+        |client: Client| tokio::spawn(async move { (client.address(), client.state().await) });
+    let tasks: Vec<_> = clients.into_iter().map(ask).collect();
+    let mut answers = Vec::new();
+    let mut silent = Vec::new();
+    for task in tasks {
+        match task.await {
+            Ok((address, Ok(state))) => answers.push((address, state)),
+            Ok((address, Err(error))) => silent.push((address, error.to_string())),
+            Err(_) => {}
+        }
+    }
+    Report::new(answers, silent)
+}
+
+impl Report {
+    /// Compares the states of the balancers that answered.
+    pub fn new(mut answers: Vec<(SocketAddr, State)>, silent: Vec<(SocketAddr, String)>) -> Report {
+        answers.sort_by(|(_, a), (_, b)| a.name.cmp(&b.name));
+        let upstreams = upstreams(&answers);
+        let answered = answers.iter();
+        let mut balancers: Vec<Balancer> = answered
+            .map(|(address, state)| Balancer::new(*address, state))
+            .collect();
+        mark_generations(&mut balancers);
+        mark_contents(&mut balancers);
+        mark_members(&mut balancers, &answers);
+        let silent = silent.into_iter();
+        balancers.extend(silent.map(|(address, reason)| Balancer::silent(address, reason)));
+        Report {
+            balancers,
+            upstreams,
+        }
+    }
+
+    /// Returns whether every balancer answered and none differs.
+    pub fn is_uniform(&self) -> bool {
+        let mut balancers = self.balancers.iter();
+        balancers.all(|balancer| balancer.remarks.is_empty())
+    }
+
+    /// Returns the highest generation in force of each key.
+    pub fn generations(&self) -> BTreeMap<String, u64> {
+        highest(&self.balancers)
+    }
+}
+
+impl Balancer {
+    fn new(address: SocketAddr, state: &State) -> Balancer {
+        Balancer {
+            address,
+            name: state.name.clone(),
+            zone: state.zone.clone(),
+            phase: Some(state.drain.phase),
+            fence_held: state.fence_held,
+            alive: alive(state).len(),
+            flows: state.flows,
+            digest: digest(state),
+            generations: generations(state),
+            remarks: Vec::new(),
+        }
+    }
+
+    fn silent(address: SocketAddr, reason: String) -> Balancer {
+        Balancer {
+            address,
+            name: String::new(),
+            zone: String::new(),
+            phase: None,
+            fence_held: false,
+            alive: 0,
+            flows: 0,
+            digest: String::new(),
+            generations: BTreeMap::new(),
+            remarks: vec![reason],
+        }
+    }
+}
+
+fn generations(state: &State) -> BTreeMap<String, u64> {
+    let routes = state.routes.iter();
+    let routes = routes.map(|route| (format!("routes/{}", route.name), route.generation));
+    let pools = state.pools.iter();
+    let pools = pools.map(|pool| (format!("pools/{}", pool.name), pool.generation));
+    routes.chain(pools).collect()
+}
+
+/// Hashes what the operators' tables determine. Health, drains and counts differ between balancers at any moment and
+/// are left out.
+fn digest(state: &State) -> String {
+    let mut lines: Vec<String> = state.routes.iter().map(route_line).collect();
+    lines.extend(state.pools.iter().map(pool_line));
+    lines.sort();
+    let hash: u64 = id::from_name(&lines.concat());
+    format!("{hash:016x}")
+}
+
+fn route_line(route: &Route) -> String {
+    let Route {
+        name,
+        generation,
+        address,
+        pool,
+        deadline_ms,
+    } = route;
+    format!("route {name} {generation} {address} {pool} {deadline_ms}\n")
+}
+
+fn pool_line(pool: &Pool) -> String {
+    let Pool {
+        name,
+        generation,
+        slots,
+        connections,
+        upstreams,
+    } = pool;
+    let mut line = format!("pool {name} {generation} {slots} {connections}\n");
+    for upstream in upstreams {
+        let (name, address) = (&upstream.name, upstream.address);
+        let (zone, weight) = (&upstream.zone, upstream.weight);
+        let _ = writeln!(line, "upstream {name} {address} {zone} {weight}");
+    }
+    line
+}
+
+fn highest(balancers: &[Balancer]) -> BTreeMap<String, u64> {
+    let mut highest = BTreeMap::new();
+    for (key, generation) in balancers.iter().flat_map(|balancer| &balancer.generations) {
+        let present = highest.entry(key.clone()).or_insert(0);
+        *present = (*present).max(*generation);
+    }
+    highest
+}
+
+fn mark_generations(balancers: &mut [Balancer]) {
+    let highest = highest(balancers);
+    for balancer in balancers {
+        for (key, newest) in &highest {
+            let remark = match balancer.generations.get(key) {
+                Some(generation) if generation == newest => continue,
+                Some(generation) => {
+                    format!("{key} has generation {generation}, others have {newest}")
+                }
+                None => format!("{key} is missing, others have generation {newest}"),
+            };
+            balancer.remarks.push(remark);
+        }
+    }
+}
+
+/// Equal generations with other contents mean that two values were written with one generation.
+fn mark_contents(balancers: &mut [Balancer]) {
+    let current = balancers
+        .iter()
+        .filter(|balancer| balancer.remarks.is_empty());
+    let digests: BTreeSet<String> = current.map(|balancer| balancer.digest.clone()).collect();
+    if digests.len() < 2 {
+        return;
+    }
+    for balancer in balancers.iter_mut() {
+        if digests.contains(&balancer.digest) {
+            let remark = "equal generations, but other contents than another balancer";
+            balancer.remarks.push(remark.to_owned());
+        }
+    }
+}
+
+fn mark_members(balancers: &mut [Balancer], answers: &[(SocketAddr, State)]) {
+    let seen: Vec<BTreeSet<&str>> = answers.iter().map(|(_, state)| alive(state)).collect();
+    let all: BTreeSet<&str> = seen.iter().flatten().copied().collect();
+    for (balancer, seen) in balancers.iter_mut().zip(&seen) {
+        let unseen: Vec<&str> = all.difference(seen).copied().collect();
+        if !unseen.is_empty() {
+            let remark = format!("does not see alive: {}", unseen.join(", "));
+            balancer.remarks.push(remark);
+        }
+    }
+}
+
+/// The balancer itself counts as alive, whether or not it lists itself.
+fn alive(state: &State) -> BTreeSet<&str> {
+    let alive = state.members.iter().filter(|member| member.state == ALIVE);
+    let names = alive.map(|member| &*member.name);
+    names.chain([&*state.name]).collect()
+}
+
+fn upstreams(answers: &[(SocketAddr, State)]) -> Vec<Upstream> {
+    let mut rows: BTreeMap<(&str, &str), Upstream> = BTreeMap::new();
+    for (_, state) in answers {
+        for pool in &state.pools {
+            for upstream in &pool.upstreams {
+                let key = (&*pool.name, &*upstream.name);
+                let row = rows.entry(key).or_insert_with(|| Upstream::new(key));
+                row.flows += upstream.flows;
+                if upstream.draining {
+                    row.draining.push(state.name.clone());
+                }
+                if !upstream.up {
+                    row.down.push(state.name.clone());
+                }
+            }
+        }
+    }
+    let rows = rows.into_values();
+    rows.filter(|row| !row.draining.is_empty() || !row.down.is_empty())
+        .collect()
+}
+
+impl Upstream {
+    fn new((pool, name): (&str, &str)) -> Upstream {
+        Upstream {
+            pool: pool.to_owned(),
+            name: name.to_owned(),
+            draining: Vec::new(),
+            down: Vec::new(),
+            flows: 0,
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "  {:<20} {:<10} {:<9} {:<6} {:>6} {:>8}  {:<16}",
+            "balancer", "zone", "phase", "fence", "alive", "flows", "digest"
+        )?;
+        for balancer in &self.balancers {
+            write!(formatter, "{balancer}")?;
+        }
+        let highest = self.generations();
+        for (key, generation) in &highest {
+            writeln!(formatter, "{key} generation {generation}")?;
+        }
+        for upstream in &self.upstreams {
+            writeln!(formatter, "{upstream}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Balancer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mark = if self.remarks.is_empty() { ' ' } else { '!' };
+        let Some(phase) = self.phase else {
+            let reason = self.remarks.join("; ");
+            return writeln!(formatter, "{mark} {:<20} {reason}", self.address);
+        };
+        let phase = format!("{phase:?}").to_lowercase();
+        let fence = if self.fence_held { "held" } else { "lost" };
+        writeln!(
+            formatter,
+            "{mark} {:<20} {:<10} {phase:<9} {fence:<6} {:>6} {:>8}  {}",
+            self.name, self.zone, self.alive, self.flows, self.digest
+        )?;
+        let mut remarks = self.remarks.iter();
+        remarks.try_for_each(|remark| writeln!(formatter, "    {remark}"))
+    }
+}
+
+impl fmt::Display for Upstream {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Upstream {
+            pool, name, flows, ..
+        } = self;
+        write!(formatter, "upstream {pool}/{name} with {flows} flows:")?;
+        let views = [("draining", &self.draining), ("down", &self.down)];
+        for (what, balancers) in views.into_iter().filter(|(_, seen)| !seen.is_empty()) {
+            write!(formatter, " {what} at {}", balancers.join(", "))?;
+        }
+        Ok(())
+    }
+}
--- a/crates/platform/src/check.rs
+++ b/crates/platform/src/check.rs
@@ -108,6 +108,18 @@
     findings
 }
 
+/// Finds upstream addresses that are in more than one service.
+///
+/// Two operators who write different objects at the same moment do not conflict with each other, so the store has to be
+/// looked at as a whole after the writes.
+pub fn overlaps(routes: &[wire::Route], pools: &[wire::Pool]) -> Vec<String> {
+    let services = upstream_services(routes, pools);
+    let shared = services.iter().filter(|(_, names)| names.len() > 1);
+    shared
+        .map(|(address, names)| format!("{address} is in the services `{}`", joined(names)))
+        .collect()
+}
+
 type Services<'a> = BTreeMap<SocketAddr, BTreeSet<&'a str>>;
 
 fn route_services(routes: &[wire::Route]) -> Services<'_> {
--- /dev/null
+++ b/crates/skylarkflow/src/apply.rs
@@ -0,0 +1,264 @@
+//! The `apply` command.
+
+use {
+    crate::{
+        base,
+        command::{Failure, Result},
+        status, tables,
+    },
+    argh::FromArgs,
+    log::LevelFilter,
+    serde_json::json,
+    skylarkflow_platform::{
+        apply::{Outcome, Writer},
+        check::{self, Tables},
+        plan::{self, Action, Conflict, Current, Generations, Plan, Settings},
+        store::Store,
+        wire::{POOL_PREFIX, ROUTE_PREFIX},
+    },
+    std::{io, net::SocketAddr, path::PathBuf, time::Duration},
+    tokio::runtime,
+};
+
+/// Write the difference between both tables and the store. Findings or a conflict found before the first write change
+/// nothing; an interrupted apply is completed by a second run.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "apply",
+    example = "Look at the plan, then write it:\n$ {command_name} --routes routes.yaml --pools pools.yaml --platform http://10.0.0.5:8080 --dry-run\n$ {command_name} --routes routes.yaml --pools pools.yaml --platform http://10.0.0.5:8080",
+    example = "After the store was restored, ask a balancer which generations are in force:\n$ {command_name} --routes routes.yaml --pools pools.yaml --platform http://10.0.0.5:8080 --balancer 10.0.0.11:9000",
+    example = "Replace another operator's edit knowingly:\n$ {command_name} --routes routes.yaml --pools pools.yaml --platform http://10.0.0.5:8080 --replace pools/dispatch@7",
+    error_code(
+        1,
+        "The store or a given balancer did not answer in time; the report names what is written."
+    ),
+    error_code(
+        2,
+        "The tables have findings, or the arguments cannot be used; nothing is written."
+    ),
+    error_code(
+        3,
+        "Somebody else has changed an entry; the report shows both versions."
+    )
+)]
+pub struct Apply {
+    /// path of the table of routes
+    #[argh(option)]
+    routes: PathBuf,
+    /// path of the table of pools
+    #[argh(option)]
+    pools: PathBuf,
+    /// base URL of the platform
+    #[argh(option)]
+    platform: String,
+    /// path of the generations that the tables are based on; default: the table of routes with the extension base.json
+    #[argh(option)]
+    base: Option<PathBuf>,
+    /// entry and generation of another operator's edit to replace, such as pools/dispatch@7; repeatable
+    #[argh(option)]
+    replace: Vec<Replacement>,
+    /// address of a balancer's administration API, which is asked for the generations in force; repeatable
+    #[argh(option)]
+    balancer: Vec<SocketAddr>,
+    /// path of a file with the token of the administration API
+    #[argh(option)]
+    token_file: Option<PathBuf>,
+    /// time after which to give up, default 30s
+    #[argh(option, default = "Duration::from_secs(30)", from_str_fn(duration))]
+    timeout: Duration,
+    /// print the plan and write nothing
+    #[argh(switch)]
+    dry_run: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// An edit that is to be replaced.
+#[derive(Clone, Debug)]
+struct Replacement {
+    key: String,
+    generation: u64,
+}
+
+impl argh::FromArgValue for Replacement {
+    fn from_arg_value(value: &str) -> std::result::Result<Replacement, String> {
+        let (key, generation) = value.split_once('@').ok_or("not KEY@GENERATION")?;
+        let generation = generation.parse().map_err(|_| "no generation after @")?;
+        Ok(Replacement {
+            key: key.to_owned(),
+            generation,
+        })
+    }
+}
+
+/// Parses a duration such as `30s`.
+pub fn duration(value: &str) -> std::result::Result<Duration, String> {
+    humantime::parse_duration(value).map_err(|error| error.to_string())
+}
+
+impl Apply {
+    /// Runs the command.
+    pub fn run(self) -> Result {
+        let checked = tables::read(&self.routes, &self.pools);
+        let tables = checked.map_err(|findings| self.refuse(&findings))?;
+        report_retries();
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.apply(&tables))
+    }
+
+    async fn apply(&self, tables: &Tables) -> Result {
+        let settings = self.settings().await?;
+        let writer = Writer::new(Store::new(&self.platform), self.timeout);
+        let current = writer.read().await.map_err(Failure::failed)?;
+        let (routes, pools) = (current.present(ROUTE_PREFIX), current.present(POOL_PREFIX));
+        let findings = check::moves(tables, &routes, &pools);
+        if !findings.is_empty() {
+            return Err(self.refuse(&findings));
+        }
+        let plan = plan::plan(tables, &current, &settings);
+        if self.dry_run || !plan.conflicts.is_empty() {
+            self.show_plan(&plan);
+            return conflicts(&plan.conflicts);
+        }
+        let outcome = writer.apply(&plan, &settings.edit).await;
+        self.show_outcome(&plan, &outcome);
+        self.keep_base(settings, &plan, &outcome)?;
+        conclude(outcome)?;
+        verify(&writer).await
+    }
+
+    async fn settings(&self) -> std::result::Result<Settings, Failure> {
+        let base = base::read(&self.base_path()).map_err(Failure::usage)?;
+        let replace = self.replace.iter();
+        let in_force = if self.balancer.is_empty() {
+            Generations::new()
+        } else {
+            let token = status::token(self.token_file.as_deref())?;
+            status::in_force(&self.balancer, token).await?
+        };
+        Ok(Settings {
+            edit: format!("{:032x}", rand::random::<u128>()),
+            in_force,
+            base: Some(base),
+            replace: replace
+                .map(|edit| (edit.key.clone(), edit.generation))
+                .collect(),
+        })
+    }
+
+    fn base_path(&self) -> PathBuf {
+        let path = self.base.clone();
+        path.unwrap_or_else(|| base::path(&self.routes))
+    }
+
+    fn refuse(&self, findings: &[skylarkflow_platform::finding::Finding]) -> Failure {
+        if self.json {
+            println!("{}", json!({ "findings": findings }));
+        } else {
+            tables::print(findings);
+        }
+        Failure::findings(findings.len())
+    }
+
+    fn show_plan(&self, plan: &Plan) {
+        if self.json {
+            println!("{}", json!({ "plan": plan }));
+            return;
+        }
+        for step in &plan.steps {
+            println!("{step}");
+            if step.action == Action::Update {
+                step.fields.iter().for_each(|field| println!("  {field}"));
+            }
+        }
+        plan.conflicts
+            .iter()
+            .for_each(|conflict| println!("conflict: {conflict}"));
+    }
+
+    fn show_outcome(&self, plan: &Plan, outcome: &Outcome) {
+        if self.json {
+            let error = outcome.error.as_ref().map(ToString::to_string);
+            let report = json!({
+                "written": outcome.written, "missing": outcome.missing,
+                "conflict": outcome.conflict, "error": error,
+            });
+            println!("{report}");
+            return;
+        }
+        let written = |key: &str| outcome.written.contains_key(key);
+        for step in plan.writes().filter(|step| written(&step.key)) {
+            println!("{step}");
+        }
+        let unchanged = plan.steps.len() - plan.writes().count();
+        println!(
+            "{} written, {unchanged} unchanged, {} not written",
+            outcome.written.len(),
+            outcome.missing.len()
+        );
+        outcome
+            .missing
+            .iter()
+            .for_each(|key| println!("not written: {key}"));
+        if let Some(conflict) = &outcome.conflict {
+            println!("conflict: {conflict}");
+        }
+    }
+
+    /// Keeps what this operator has seen, also after an interrupted apply, so that a second run does not conflict with
+    /// the first.
+    fn keep_base(&self, settings: Settings, plan: &Plan, outcome: &Outcome) -> Result {
+        let mut base = settings.base.unwrap_or_default();
+        let unchanged = plan.steps.iter();
+        let unchanged = unchanged.filter(|step| step.action == Action::Unchanged);
+        base.extend(unchanged.map(|step| (step.key.clone(), step.generation)));
+        base.extend(outcome.written.clone());
+        Ok(base::write(&self.base_path(), &base)?)
+    }
+}
+
+/// Shows on standard error why an apply takes long.
+fn report_retries() {
+    let output = fern::Dispatch::new()
+        .level(LevelFilter::Off)
+        .level_for("skylarkflow_platform", LevelFilter::Warn)
+        .format(|out, message, _| out.finish(format_args!("skylarkflow: {message}")))
+        .chain(io::stderr());
+    // A logger that is already set takes the lines.
+    let _ = output.apply();
+}
+
+fn conflicts(conflicts: &[Conflict]) -> Result {
+    if conflicts.is_empty() {
+        return Ok(());
+    }
+    let text = format!("{} conflicts; nothing was changed", conflicts.len());
+    Err(Failure::conflict(text))
+}
+
+fn conclude(outcome: Outcome) -> Result {
+    if let Some(conflict) = outcome.conflict {
+        let text = format!("{} was changed by somebody else meanwhile", conflict.key);
+        return Err(Failure::conflict(text));
+    }
+    match outcome.error {
+        Some(error) => Err(Failure::failed(format!("{error}; a second run goes on"))),
+        None => Ok(()),
+    }
+}
+
+/// Looks for an address that two operators have put into two services at the same moment.
+async fn verify(writer: &Writer) -> Result {
+    let current: Current = writer.read().await.map_err(Failure::failed)?;
+    let (routes, pools) = (current.present(ROUTE_PREFIX), current.present(POOL_PREFIX));
+    let overlaps = check::overlaps(&routes, &pools);
+    if overlaps.is_empty() {
+        return Ok(());
+    }
+    let text = format!("edits of two operators overlap: {}", overlaps.join("; "));
+    Err(Failure::conflict(text))
+}
--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -1,18 +1,21 @@
 //! The command line.
 
 use {
-    crate::{emulate, run::Run},
+    crate::{apply::Apply, check::Check, drain::Drain, emulate, run::Run, status::Status},
     argh::FromArgs,
     derive_more::Display,
-    std::{error::Error, io},
+    std::{env, error::Error, io, process::ExitCode},
 };
 
 /// Exit code after a failure at run time.
 const EXIT_FAILURE: u8 = 1;
 
-/// Exit code for settings or addresses that cannot be used.
+/// Exit code for arguments, settings, tables or addresses that cannot be used.
 const EXIT_USAGE: u8 = 2;
 
+/// Exit code after an edit of somebody else that the operator has to look at first.
+const EXIT_CONFLICT: u8 = 3;
+
 /// Result of a command.
 pub type Result = std::result::Result<(), Failure>;
 
@@ -34,11 +37,39 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Apply(Apply),
+    Check(Check),
+    Drain(Drain),
     Emulate(emulate::Emulate),
     Run(Run),
+    Status(Status),
 }
 
 impl Arguments {
+    /// Parses the arguments of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the exit code after the help, or after arguments that cannot be used.
+    pub fn from_env() -> std::result::Result<Arguments, ExitCode> {
+        let arguments: Vec<String> = env::args_os()
+            .skip(1)
+            .map(|argument| argument.to_string_lossy().into_owned())
+            .collect();
+        let arguments: Vec<&str> = arguments.iter().map(|argument| &**argument).collect();
+        Arguments::from_args(&["skylarkflow"], &arguments).map_err(|exit| {
+            if exit.status.is_ok() {
+                println!("{}", exit.output);
+                return ExitCode::SUCCESS;
+            }
+            eprintln!(
+                "{}\nRun skylarkflow --help for more information.",
+                exit.output
+            );
+            ExitCode::from(EXIT_USAGE)
+        })
+    }
+
     /// Runs the command.
     ///
     /// # Errors
@@ -46,8 +77,12 @@
     /// Fails with the exit code of the process.
     pub fn run(self) -> Result {
         match self.command {
+            Command::Apply(apply) => apply.run(),
+            Command::Check(check) => check.run(),
+            Command::Drain(drain) => drain.run(),
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
+            Command::Status(status) => status.run(),
         }
     }
 }
@@ -61,6 +96,38 @@
         }
     }
 
+    /// Returns a failure that another run or another state of the deployment may not have.
+    pub fn failed(cause: impl Into<Box<dyn Error>>) -> Failure {
+        Failure {
+            cause: cause.into(),
+            code: EXIT_FAILURE,
+        }
+    }
+
+    /// Returns a failure because of arguments that cannot be used.
+    pub fn arguments(cause: impl Into<Box<dyn Error>>) -> Failure {
+        Failure {
+            cause: cause.into(),
+            code: EXIT_USAGE,
+        }
+    }
+
+    /// Returns a failure because of the findings in the tables.
+    pub fn findings(count: usize) -> Failure {
+        Failure {
+            cause: format!("{count} findings; nothing was changed").into(),
+            code: EXIT_USAGE,
+        }
+    }
+
+    /// Returns a failure because of an edit of somebody else.
+    pub fn conflict(cause: impl Into<Box<dyn Error>>) -> Failure {
+        Failure {
+            cause: cause.into(),
+            code: EXIT_CONFLICT,
+        }
+    }
+
     /// Returns the exit code.
     pub fn code(&self) -> u8 {
         self.code
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -3,10 +3,14 @@
 //! [`daemon::Daemon`] starts a balancer on threads of its own; [`command`] is the command line around it. The decisions
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
+mod apply;
+mod base;
+mod check;
 pub mod clock;
 pub mod command;
 pub mod context;
 pub mod daemon;
+mod drain;
 pub mod emulate;
 pub mod event;
 mod follower;
@@ -21,5 +25,7 @@
 mod run;
 pub mod settings;
 pub mod sockets;
+mod status;
+mod tables;
 mod timer;
 mod upstreams;
--- a/crates/skylarkflow/src/main.rs
+++ b/crates/skylarkflow/src/main.rs
@@ -3,7 +3,10 @@
 use {skylarkflow::command::Arguments, std::process::ExitCode};
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
+    let arguments = match Arguments::from_env() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
     match arguments.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
--- /dev/null
+++ b/crates/skylarkflow/src/status.rs
@@ -0,0 +1,97 @@
+//! The `status` command.
+
+use {
+    crate::command::{Failure, Result},
+    argh::FromArgs,
+    skylarkflow_operator::{client::Client, status},
+    skylarkflow_platform::plan::Generations,
+    std::{
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+    tokio::runtime,
+};
+
+/// Show what is in force on each balancer and mark those that differ.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "Compare three balancers:\n$ {command_name} --balancer 10.0.0.11:9000 --balancer 10.0.0.12:9000 --balancer 10.0.0.13:9000",
+    error_code(1, "A balancer does not answer or differs from the others.")
+)]
+pub struct Status {
+    /// address of a balancer's administration API; repeatable
+    #[argh(option)]
+    balancer: Vec<SocketAddr>,
+    /// path of a file with the token of the administration API
+    #[argh(option)]
+    token_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Status {
+    /// Runs the command.
+    pub fn run(self) -> Result {
+        if self.balancer.is_empty() {
+            return Err(Failure::arguments("at least one --balancer is needed"));
+        }
+        let token = token(self.token_file.as_deref())?;
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let report = runtime.block_on(status::collect(clients(&self.balancer, token)));
+        if self.json {
+            println!(
+                "{}",
+                serde_json::to_string(&report).map_err(Failure::failed)?
+            );
+        } else {
+            print!("{report}");
+        }
+        if report.is_uniform() {
+            return Ok(());
+        }
+        Err(Failure::failed("balancers differ or do not answer"))
+    }
+}
+
+/// Reads the token of the administration API, if there is one.
+pub fn token(path: Option<&Path>) -> std::result::Result<Option<String>, Failure> {
+    let Some(path) = path else { return Ok(None) };
+    let text = fs::read_to_string(path).map_err(|error| {
+        let text = format!("{}: {error}", path.display());
+        Failure::arguments(text)
+    })?;
+    Ok(Some(text.trim().to_owned()))
+}
+
+/// Asks balancers for the highest generations in force.
+///
+/// # Errors
+///
+/// Fails if none of them answers.
+pub async fn in_force(
+    balancers: &[SocketAddr],
+    token: Option<String>,
+) -> std::result::Result<Generations, Failure> {
+    let report = status::collect(clients(balancers, token)).await;
+    if report
+        .balancers
+        .iter()
+        .all(|balancer| balancer.phase.is_none())
+    {
+        return Err(Failure::failed("none of the given balancers answers"));
+    }
+    Ok(report.generations())
+}
+
+fn clients(balancers: &[SocketAddr], token: Option<String>) -> Vec<Client> {
+    let balancers = balancers.iter();
+    balancers
+        .map(|&address| Client::new(address, token.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/skylarkflow/tests/operate.rs
@@ -0,0 +1,317 @@
+//! The operators' commands as processes against an emulated platform.
+
+use {
+    skylarkflow_emulator::{fault::Faults, platform::Platform},
+    skylarkflow_platform::plan,
+    std::{
+        fs,
+        io::{BufRead, BufReader, Write},
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Command, Output, Stdio},
+        thread,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+};
+
+const FAILED: i32 = 1;
+const USAGE: i32 = 2;
+const CONFLICT: i32 = 3;
+
+/// An operator's directory with both tables.
+struct Operator {
+    directory: TempDir,
+    platform: String,
+}
+
+async fn platform() -> (Platform, String) {
+    let platform = Platform::default();
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let address = platform.serve(any).await.expect("a free port");
+    (platform, format!("http://{address}"))
+}
+
+impl Operator {
+    /// Creates tables of the service dispatch and of others that have an upstream address each.
+    fn new(platform: &str, slots: u32, others: &[(&str, &str)]) -> Operator {
+        let directory = TempDir::new().expect("a temporary directory");
+        let platform = platform.to_owned();
+        let operator = Operator {
+            directory,
+            platform,
+        };
+        operator.write(slots, others);
+        operator
+    }
+
+    fn write(&self, slots: u32, others: &[(&str, &str)]) {
+        let mut routes = "routes:\n".to_owned();
+        let mut pools = "pools:\n".to_owned();
+        let services = [("dispatch", "10.0.1.1:5683")];
+        for (index, (name, address)) in services.iter().chain(others).enumerate() {
+            routes += &format!(
+                "  - {{name: {name}, address: '10.0.0.1:{}', pool: {name}, deadline: 30s}}\n",
+                7001 + index + name.len()
+            );
+            pools += &format!(
+                "  - {{name: {name}, slots: {slots}, connections: 2000, upstreams: [{{name: one, address: '{address}', zone: a}}]}}\n"
+            );
+        }
+        fs::write(self.path("routes.yaml"), routes).expect("a table");
+        fs::write(self.path("pools.yaml"), pools).expect("a table");
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(name)
+    }
+
+    fn command(&self, name: &str) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_skylarkflow"));
+        command.current_dir(self.directory.path()).arg(name);
+        command.args(["--routes", "routes.yaml", "--pools", "pools.yaml"]);
+        command
+    }
+
+    fn apply(&self) -> Command {
+        let mut command = self.command("apply");
+        command.args(["--platform", &self.platform]);
+        command
+    }
+}
+
+fn run(command: &mut Command) -> (i32, String) {
+    let Output { status, stdout, .. } = command.output().expect("the binary starts");
+    let text = String::from_utf8(stdout).expect("text");
+    (status.code().expect("an exit code"), text)
+}
+
+fn skylarkflow(arguments: &[&str]) -> (i32, String) {
+    run(Command::new(env!("CARGO_BIN_EXE_skylarkflow")).args(arguments))
+}
+
+/// Guards against a command without an example, and against exit code 1 for wrong arguments.
+#[test]
+fn help_has_examples_and_wrong_arguments_have_their_code() {
+    for command in ["check", "apply", "status", "drain"] {
+        let (code, text) = skylarkflow(&[command, "--help"]);
+        assert_eq!(code, 0, "{text}");
+        assert!(text.contains("Examples:"), "{text}");
+        assert_eq!(skylarkflow(&[command, "--unknown"]).0, USAGE);
+    }
+    assert_eq!(skylarkflow(&["status"]).0, USAGE);
+}
+
+/// Guards against findings that are not reported together, and against a write despite of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn findings_change_nothing() {
+    let (platform, base) = platform().await;
+    let operator = Operator::new(&base, 0, &[("other", "10.0.1.1:5683")]);
+    let expected = "pools.yaml:2:29: T012: `slots` must be 1 to 1024, not 0
+pools.yaml:3:26: T012: `slots` must be 1 to 1024, not 0
+pools.yaml:3:81: T011: 10.0.1.1:5683 is already in another pool on line 2
+";
+    assert_eq!(
+        run(&mut operator.command("check")),
+        (USAGE, expected.to_owned())
+    );
+    assert_eq!(run(&mut operator.apply()), (USAGE, expected.to_owned()));
+    assert_eq!(platform.calls().writes, 0);
+    fs::remove_file(operator.path("pools.yaml")).expect("a file");
+    let (code, text) = run(operator.command("check").arg("--json"));
+    assert_eq!(code, USAGE);
+    assert!(text.contains("T001"), "{text}");
+}
+
+/// Guards against a dry run that writes, and against a second apply that writes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dry_run_writes_nothing_and_a_second_apply_neither() {
+    let (platform, base) = platform().await;
+    let operator = Operator::new(&base, 2, &[]);
+    let (code, text) = run(operator.apply().arg("--dry-run"));
+    let plan = "create pools/dispatch generation 1\ncreate routes/dispatch generation 1\n";
+    assert_eq!((code, &*text), (0, plan));
+    assert_eq!(platform.calls().writes, 0);
+    let (code, text) = run(&mut operator.apply());
+    assert_eq!(code, 0);
+    assert_eq!(
+        text,
+        format!("{plan}2 written, 0 unchanged, 0 not written\n")
+    );
+    let (code, text) = run(&mut operator.apply());
+    assert_eq!(
+        (code, &*text),
+        (0, "0 written, 2 unchanged, 0 not written\n")
+    );
+    assert_eq!(platform.calls().writes, 2);
+}
+
+/// Guards against an edit that is lost when two operators read the same state before either writes.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_second_of_two_operators_at_one_moment_gets_a_conflict() {
+    let (platform, base) = platform().await;
+    let operators = [2, 3].map(|slots| Operator::new(&base, slots, &[]));
+    platform.set_faults(Faults {
+        delay_ms: 500,
+        ..Faults::default()
+    });
+    let children = operators.each_ref().map(|operator| {
+        let mut command = operator.apply();
+        command.stdout(Stdio::piped()).spawn().expect("a process")
+    });
+    let outputs = children.map(|child| child.wait_with_output().expect("an end"));
+    let mut codes = outputs.each_ref().map(|output| output.status.code());
+    let second = usize::from(codes[0] == Some(0));
+    let text = String::from_utf8_lossy(&outputs[second].stdout);
+    let (mine, theirs) = (2 + second, 3 - second);
+    let shown = format!("slots: table {mine}, store {theirs}");
+    assert!(text.contains(&shown), "{text}");
+    codes.sort();
+    assert_eq!(codes, [Some(0), Some(CONFLICT)]);
+    let pools = platform.list("pools/").objects;
+    assert_eq!(pools[0].value["slots"], theirs);
+    assert_eq!(plan::generation(&pools[0].value), 1);
+}
+
+/// Guards against an edit that is reverted later by tables without it, and by tables whose base is not known.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_who_has_not_seen_an_edit_gets_a_conflict() {
+    let (platform, base) = platform().await;
+    let first = Operator::new(&base, 2, &[]);
+    assert_eq!(run(&mut first.apply()).0, 0);
+    let second = Operator::new(&base, 3, &[]);
+    let (code, text) = run(&mut second.apply());
+    assert_eq!(code, CONFLICT);
+    assert!(text.contains("slots: table 3, store 2"), "{text}");
+    assert!(text.contains("--replace pools/dispatch@1"), "{text}");
+    assert_eq!(platform.calls().writes, 2);
+    let (code, text) = run(second.apply().args(["--replace", "pools/dispatch@1"]));
+    assert_eq!(code, 0, "{text}");
+    first.write(4, &[]);
+    assert_eq!(run(&mut first.apply()).0, CONFLICT);
+    second.write(4, &[]);
+    assert_eq!(run(&mut second.apply()).0, 0);
+    let pools = platform.list("pools/").objects;
+    assert_eq!(plan::generation(&pools[0].value), 3);
+}
+
+/// Guards against one upstream in two services after edits of different entries at the same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_edits_of_different_entries_are_reported() {
+    let (platform, base) = platform().await;
+    let operators = ["left", "right-side"].map(|name| {
+        let operator = Operator::new(&base, 2, &[]);
+        let routes = format!("routes: [{{name: {name}, address: '10.0.0.{}:1', pool: {name}, deadline: 30s}}]", name.len());
+        let pools = format!("pools: [{{name: {name}, slots: 2, connections: 9, upstreams: [{{name: one, address: '10.0.1.1:1', zone: a}}]}}]");
+        fs::write(operator.path("routes.yaml"), routes).expect("a table");
+        fs::write(operator.path("pools.yaml"), pools).expect("a table");
+        operator
+    });
+    platform.set_faults(Faults {
+        delay_ms: 500,
+        ..Faults::default()
+    });
+    let children = operators.each_ref().map(|operator| {
+        operator
+            .apply()
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("a process")
+    });
+    let codes = children.map(|mut child| child.wait().expect("an end").code());
+    assert!(codes.contains(&Some(CONFLICT)), "{codes:?}");
+}
+
+/// Guards against an apply that hangs while the store is down, and against one that cannot be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_apply_gives_up_in_an_outage_and_is_repeated_after_it() {
+    let (platform, base) = platform().await;
+    let operator = Operator::new(&base, 2, &[("other", "10.0.1.2:5683")]);
+    platform.set_faults(Faults {
+        delay_ms: 200,
+        ..Faults::default()
+    });
+    let mut command = operator.apply();
+    command.args(["--timeout", "3s"]).stdout(Stdio::piped());
+    let start = Instant::now();
+    let child = command.spawn().expect("a process");
+    while platform.list("").objects.is_empty() {
+        assert!(start.elapsed() < Duration::from_secs(20));
+        thread::sleep(Duration::from_millis(10));
+    }
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let output = child.wait_with_output().expect("an end");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(FAILED));
+    assert!(text.contains("not written: routes/other"), "{text}");
+    assert!(start.elapsed() < Duration::from_secs(10));
+    platform.set_faults(Faults::default());
+    let (code, text) = run(&mut operator.apply());
+    assert_eq!(code, 0, "{text}");
+    let objects = platform.list("").objects;
+    assert_eq!(objects.len(), 4);
+    assert!(
+        objects
+            .iter()
+            .all(|object| plan::generation(&object.value) == 1)
+    );
+}
+
+/// Guards against an edit after a restoration whose generation balancers refuse.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_after_a_restoration_gets_a_generation_above_the_one_in_force() {
+    let (platform, base) = platform().await;
+    let operator = Operator::new(&base, 2, &[]);
+    assert_eq!(run(&mut operator.apply()).0, 0);
+    let snapshot = platform.snapshot();
+    operator.write(3, &[]);
+    assert_eq!(run(&mut operator.apply()).0, 0);
+    platform.restore(snapshot);
+    operator.write(4, &[]);
+    let balancer = balancer(
+        r#"{"name": "entry-1", "zone": "a", "uptime_ms": 1, "fence_held": true, "members": [], "routes": [],
+        "drain": {"phase": "serving", "elapsed_ms": null, "limit_ms": 1}, "flows": 0, "counters": {}, "pools":
+        [{"name": "dispatch", "generation": 6, "slots": 2, "connections": 2000, "upstreams": []}]}"#,
+    );
+    let (code, text) = run(operator.apply().args(["--balancer", &balancer.to_string()]));
+    assert_eq!(code, 0);
+    assert!(
+        text.contains("update pools/dispatch generation 7"),
+        "{text}"
+    );
+    platform.restore(snapshot);
+    operator.write(5, &[]);
+    // Without a balancer, the operator's own base tells the highest generation that he knows of.
+    let (code, text) = run(&mut operator.apply());
+    assert_eq!(code, 0);
+    assert!(
+        text.contains("update pools/dispatch generation 8"),
+        "{text}"
+    );
+}
+
+/// Answers every call of the administration API with one state.
+fn balancer(state: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let reader = BufReader::new(stream.try_clone().expect("a second handle"));
+            let mut lines = reader.lines().map_while(Result::ok);
+            lines
+                .by_ref()
+                .take_while(|line| !line.is_empty())
+                .for_each(drop);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                state.len()
+            );
+            let _ = stream.write_all((head + state).as_bytes());
+        }
+    });
+    address
+}
