--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -3,12 +3,14 @@
 //! [`daemon::Daemon`] starts a balancer on threads of its own; [`command`] is the command line around it. The decisions
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
+mod admin;
 mod apply;
 mod base;
 mod check;
 pub mod clock;
 pub mod command;
 pub mod context;
+mod control;
 pub mod daemon;
 mod drain;
 pub mod emulate;
@@ -16,6 +18,7 @@
 mod follower;
 mod ingress;
 pub mod journal;
+mod listener;
 pub mod logs;
 pub mod metrics;
 mod notes;
@@ -25,6 +28,7 @@
 mod run;
 pub mod settings;
 pub mod sockets;
+mod state;
 mod status;
 mod tables;
 mod timer;
