Drive the membership, the fence and the handover over UDP

A control thread owns node::Node. It takes control messages, the VM list and the start of a planned stop from a bounded queue, puts each changed view in force and passes the end of the fence's window to the decisions. That end is found by bisection over Base::holds (12 steps), because extending a positive answer by a fixed time would dispatch after the window. Handover messages go to Core on the thread that received them. Messages above 1,400 bytes use a link.

The process tests wait until every balancer hears a majority of its zone; before that, non-idempotent requests end as unknown by design.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -3,11 +3,12 @@
 use {
     crate::error::{Code, Error, Result},
     serde::{Deserialize, Serialize},
-    skylarkflow_policy::{handover, id::VmId},
+    skylarkflow_policy::{handover, id::VmId, node},
 };
 
 /// A message with its sender.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(VmId, Message)", into = "(VmId, Message)")]
 pub struct Control {
     /// Balancer that sent it.
     pub from: VmId,
@@ -19,7 +20,23 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Message {
     /// Moves flows.
+    #[serde(rename = "h")]
     Handover(handover::Message),
+    /// Spreads members and configuration.
+    #[serde(rename = "n")]
+    Node(node::Message),
+}
+
+impl From<(VmId, Message)> for Control {
+    fn from((from, message): (VmId, Message)) -> Control {
+        Control { from, message }
+    }
+}
+
+impl From<Control> for (VmId, Message) {
+    fn from(control: Control) -> (VmId, Message) {
+        (control.from, control.message)
+    }
 }
 
 impl Control {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -51,8 +51,8 @@
     Opened(SocketAddr),
     /// A link was lost or could not be opened.
     Lost(SocketAddr, String),
-    /// A message has arrived.
-    Received(Vec<u8>),
+    /// A message has arrived; the address is that of the sender's connection, not of its peer socket.
+    Received(SocketAddr, Vec<u8>),
 }
 
 /// Takes events; called on the threads of the runtime, so it must not block.
@@ -177,7 +177,7 @@
         loop {
             match time::timeout(self.settings.deadline, stream.next()).await {
                 Ok(Some(Ok(Message::Binary(bytes)))) => {
-                    (self.handler)(Event::Received(bytes.into()));
+                    (self.handler)(Event::Received(address, bytes.into()));
                 }
                 Ok(Some(Ok(Message::Close(_))) | None) => return,
                 Ok(Some(Ok(_))) => {}
--- a/crates/peer/tests/link.rs
+++ b/crates/peer/tests/link.rs
@@ -39,7 +39,7 @@
 
 fn received(end: &End) -> Vec<u8> {
     loop {
-        if let Event::Received(bytes) = end.events.recv_timeout(LIMIT).expect("an event") {
+        if let Event::Received(_, bytes) = end.events.recv_timeout(LIMIT).expect("an event") {
             return bytes;
         }
     }
--- a/crates/skylarkflow/src/context.rs
+++ b/crates/skylarkflow/src/context.rs
@@ -3,12 +3,14 @@
 use {
     crate::{
         clock::Clock,
+        control::Input,
         event::{self, Event},
         journal::Journal,
-        metrics::{Counter, Metrics},
+        metrics::{Counter, Gauge, Metrics},
         settings::Settings,
         sockets::Sockets,
     },
+    crossbeam::channel::Sender,
     skylarkflow_operator::wire::Phase,
     skylarkflow_peer::link::Links,
     skylarkflow_policy::{
@@ -43,6 +45,8 @@
     pub metrics: Arc<Metrics>,
     /// Links to other balancers.
     pub links: Links,
+    /// Messages to the control thread.
+    inbox: Sender<Input>,
     /// Balancers that this one knows.
     pub members: RwLock<Arc<Roster>>,
     drain: Mutex<Drain>,
@@ -104,6 +108,7 @@
         clock: Clock,
         metrics: Arc<Metrics>,
         links: Links,
+        inbox: Sender<Input>,
     ) -> Context {
         Context {
             journal: Journal::new(&settings.name),
@@ -113,6 +118,7 @@
             clock,
             metrics,
             links,
+            inbox,
             members: RwLock::default(),
             drain: Mutex::default(),
             draining: AtomicBool::default(),
@@ -126,6 +132,14 @@
         id::from_name(&self.settings.name)
     }
 
+    /// Passes a message to the control thread; it is dropped and counted if the queue is full.
+    pub fn enqueue(&self, input: Input) {
+        if self.inbox.try_send(input).is_err() {
+            let text = format_args!("to the control thread: its queue is full");
+            self.drop_datagram(Counter::ControlDropped, &event::CONTROL_DROPPED, text);
+        }
+    }
+
     /// Returns whether the threads are to end.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
@@ -158,13 +172,16 @@
         let text = format_args!("hands over and stops within {limit}");
         self.journal.record(&event::DRAIN_STARTED, text);
         self.core.leave(now);
+        self.enqueue(Input::Leave);
         true
     }
 
-    /// Notes that the balancer has members and tables.
-    pub fn set_serving(&self) {
+    /// Notes that the balancer may have members and tables now.
+    pub fn check_serving(&self) {
+        let is_member = self.metrics.gauge(Gauge::Members) > 0;
+        let has_tables = !self.core.tables().routes.is_empty();
         let mut drain = self.drain();
-        if drain.phase == Phase::Starting {
+        if drain.phase == Phase::Starting && is_member && has_tables {
             drain.phase = Phase::Serving;
         }
     }
--- a/crates/skylarkflow/src/control.rs
+++ b/crates/skylarkflow/src/control.rs
@@ -1,36 +1,81 @@
-//! The control thread: takes what arrives over links.
+//! The control thread: drives the membership, the fence and what arrives over links.
 
 use {
     crate::{
-        context::Context,
+        context::{Context, Roster, Row},
         event,
-        metrics::{Counter, Metrics},
+        metrics::{Counter, Gauge, Metrics},
         peers,
-        perform::Scratch,
+        perform::{self, Scratch},
         settings::Limits,
     },
-    crossbeam::channel::{self, Receiver, RecvTimeoutError},
+    crossbeam::channel::{Receiver, RecvTimeoutError, Sender},
+    skylarkflow_operator::wire::Phase,
     skylarkflow_peer::{
+        control::Message,
         datagram::{self, Datagram},
         link::{self, Links},
     },
-    std::{sync::Arc, time::Duration},
+    skylarkflow_policy::{
+        id::{Map, VmId},
+        member::{self, State},
+        node::{self, Action, Node},
+        owner::{self, View},
+        quorum, vm,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::runtime,
 };
 
-/// Time after which the thread looks whether it is to stop.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two ticks of the membership.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which the thread looks whether it is to stop, and at the fence.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Steps in which the end of the fence's window is searched; the last one is below a millisecond.
+const FENCE_STEPS: u32 = 12;
+
+/// Something for the control thread.
+#[derive(Debug)]
+pub enum Input {
+    /// Something happened on a link.
+    Link(link::Event),
+    /// The platform returned its VM list.
+    Listed(Vec<vm::Record>),
+    /// A message of another balancer.
+    Node {
+        /// Address of its peer socket.
+        from: SocketAddr,
+        /// The message.
+        message: node::Message,
+    },
+    /// A planned stop has started.
+    Leave,
+}
+
+struct Control<'a> {
+    context: &'a Context,
+    node: Node,
+    names: Map<VmId, String>,
+    ids: Map<SocketAddr, VmId>,
+    actions: Vec<Action>,
+    scratch: Scratch,
+    ticked: Duration,
+    has_view: bool,
+    is_held: bool,
+}
 
-/// Creates the links of a balancer, whose events wait in a bounded queue.
+/// Creates the links of a balancer, whose events go to the control thread.
 pub fn links(
     limits: &Limits,
     runtime: &runtime::Handle,
     metrics: &Arc<Metrics>,
-) -> (Links, Receiver<link::Event>) {
-    let (sender, receiver) = channel::bounded(limits.control_queue);
-    let metrics = Arc::clone(metrics);
+    inbox: &Sender<Input>,
+) -> Links {
+    let (metrics, inbox) = (Arc::clone(metrics), inbox.clone());
     let handler = move |event| {
-        if sender.try_send(event).is_err() {
+        if inbox.try_send(Input::Link(event)).is_err() {
             metrics.count(Counter::ControlDropped);
         }
     };
@@ -40,47 +85,231 @@
         accepted: limits.links,
         ..link::Settings::default()
     };
-    let links = Links::new(runtime.clone(), settings, Arc::new(handler));
-    (links, receiver)
+    Links::new(runtime.clone(), settings, Arc::new(handler))
 }
 
-/// Takes what arrives over links until the balancer stops.
-pub fn run(context: &Context, events: &Receiver<link::Event>) {
-    let mut scratch = Scratch::default();
+/// Drives the membership until the balancer stops.
+pub fn run(context: &Context, address: SocketAddr, inputs: &Receiver<Input>) {
+    let mut control = Control::new(context, address);
     while !context.is_stopped() {
-        match events.recv_timeout(POLL_INTERVAL) {
-            Ok(event) => accept(context, &mut scratch, event),
+        match inputs.recv_timeout(POLL_INTERVAL) {
+            Ok(input) => control.accept(input),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
+        control.tick();
+    }
+    if context.drain().phase == Phase::Drained {
+        control.handle(node::Event::Stop);
     }
 }
 
-fn accept(context: &Context, scratch: &mut Scratch, event: link::Event) {
-    match event {
-        link::Event::Opened(address) => {
-            let text = format_args!("with {address}");
-            context.journal.record(&event::LINK_OPENED, text);
+impl<'a> Control<'a> {
+    fn new(context: &'a Context, address: SocketAddr) -> Control<'a> {
+        let me = member::Identity {
+            id: context.id(),
+            place: member::Place {
+                zone: context.settings.zone.clone(),
+                address,
+            },
+            incarnation: context.clock.incarnation(),
+        };
+        let seed = me.id ^ me.incarnation;
+        let names = [(me.id, context.settings.name.clone())];
+        Control {
+            context,
+            node: Node::new(node::Settings::default(), me, seed),
+            names: names.into_iter().collect(),
+            ids: Map::default(),
+            actions: Vec::new(),
+            scratch: Scratch::default(),
+            ticked: Duration::ZERO,
+            has_view: false,
+            is_held: false,
+        }
+    }
+
+    fn accept(&mut self, input: Input) {
+        match input {
+            Input::Link(event) => self.accept_link(event),
+            Input::Listed(records) => {
+                let names = records.iter().map(|vm| (vm.id(), vm.name.clone()));
+                self.names.extend(names);
+                let is_entry = |vm: &vm::Record| vm.role == vm::Role::Entry;
+                let records = records.into_iter().filter(is_entry).collect();
+                self.handle(node::Event::Listed(records));
+            }
+            Input::Node { from, message } => self.handle(node::Event::Received { from, message }),
+            Input::Leave => self.handle(node::Event::Leave),
         }
-        link::Event::Lost(address, reason) => {
-            let now = context.clock.now();
-            let text = format_args!("with {address}: {reason}");
-            context.journal.record_limited(now, &event::LINK_LOST, text);
+    }
+
+    fn tick(&mut self) {
+        let now = self.context.clock.now();
+        if now.saturating_sub(self.ticked) >= TICK_INTERVAL {
+            self.ticked = now;
+            self.handle(node::Event::Tick);
+            self.refresh_roster();
         }
-        link::Event::Received(bytes) => receive(context, scratch, &bytes),
+        self.refresh_fence();
+    }
+
+    fn handle(&mut self, event: node::Event) {
+        let now = self.context.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.node.handle(now, event, &mut actions);
+        let mut has_changed = false;
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { to, message } => {
+                    let id = self.ids.get(&to).copied().unwrap_or_default();
+                    perform::send_control(self.context, id, to, Message::Node(message));
+                }
+                Action::View => has_changed = true,
+            }
+        }
+        self.actions = actions;
+        // The first view follows when enough is known, which need not be a change of the members.
+        let is_first = !self.has_view && self.node.member().has_joined();
+        if is_first || has_changed && self.has_view {
+            self.has_view = true;
+            self.refresh_roster();
+            self.adopt_view(now);
+        }
+    }
+
+    /// Puts the owner tables of the members in force.
+    fn adopt_view(&self, now: Duration) {
+        let deployment = self.node.deployment();
+        let zones = self.context.settings.zones.iter().chain(&deployment.zones);
+        let leaving = self.node.member().members();
+        let leaving = leaving.filter(|member| member.state == State::Leaving);
+        let leaving: Vec<owner::Member> = leaving.map(owner).collect();
+        let view = View::new(zones.map(|zone| &**zone), &deployment.members);
+        let count = deployment.members.len();
+        self.context.metrics.set(Gauge::Members, count as u64);
+        self.context.core.set_view(now, view.with_leaving(&leaving));
+        let text = format_args!("{count} balancers own flows, {} are leaving", leaving.len());
+        self.context.journal.record(&event::VIEW_ADOPTED, text);
+        self.context.check_serving();
+    }
+
+    fn refresh_roster(&mut self) {
+        let rows: Vec<Row> = self
+            .node
+            .member()
+            .members()
+            .map(|it| self.row(it))
+            .collect();
+        let before = self.context.roster();
+        let roster = Roster::new(rows);
+        if roster.rows == before.rows {
+            return;
+        }
+        for row in &roster.rows {
+            let known = before.get(row.member.id);
+            if known.is_none_or(|known| known.state != row.state) {
+                let text = format_args!("{} of {} is {}", row.name, row.member.zone, row.state);
+                self.context.journal.record(&event::MEMBER_CHANGED, text);
+            }
+        }
+        let ids = roster.rows.iter();
+        self.ids = ids.map(|row| (row.member.address, row.member.id)).collect();
+        self.context.links.retain(|id| roster.get(id).is_some());
+        self.context.set_roster(roster);
+    }
+
+    fn row(&self, member: &member::Member) -> Row {
+        let name = self.names.get(&member.id).cloned();
+        Row {
+            name: name.unwrap_or_else(|| format!("{:016x}", member.id)),
+            member: owner(member),
+            state: match member.state {
+                State::Alive => "alive",
+                State::Suspect => "suspect",
+                State::Leaving => "leaving",
+                State::Dead => "dead",
+                State::Left => "left",
+            },
+        }
+    }
+
+    /// Passes the end of the fence's window to the decisions.
+    fn refresh_fence(&mut self) {
+        let now = self.context.clock.now();
+        let is_held = self.node.holds(now);
+        if is_held {
+            self.context.core.set_fence(now, self.held_until(now));
+        }
+        if is_held == self.is_held {
+            return;
+        }
+        self.is_held = is_held;
+        self.context.metrics.set(Gauge::Fence, u64::from(is_held));
+        let (event, text) = if is_held {
+            (&event::FENCE_HELD, "a majority of the zone answers")
+        } else {
+            (
+                &event::FENCE_LOST,
+                "no majority of the zone has answered within 2 s",
+            )
+        };
+        self.context.journal.record(event, format_args!("{text}"));
+    }
+
+    /// Returns the time until which the answers heard so far allow dispatches, rounded down.
+    fn held_until(&self, now: Duration) -> Duration {
+        let (mut held, mut step) = (now, quorum::WINDOW);
+        for _ in 0..FENCE_STEPS {
+            step /= 2;
+            if self.node.holds(held + step) {
+                held += step;
+            }
+        }
+        held
     }
-}
 
-fn receive(context: &Context, scratch: &mut Scratch, bytes: &[u8]) {
-    match datagram::from_slice(bytes) {
-        Ok(Datagram::Control(control)) => peers::accept_control(context, scratch, control),
-        Ok(Datagram::Transit(_)) => {
-            let text = format_args!("a caller's datagram over a link");
-            context.drop_datagram(Counter::BadPeer, &event::BAD_PEER_DATAGRAM, text);
+    fn accept_link(&mut self, event: link::Event) {
+        let context = self.context;
+        match event {
+            link::Event::Opened(address) => {
+                let text = format_args!("with {address}");
+                context.journal.record(&event::LINK_OPENED, text);
+            }
+            link::Event::Lost(address, reason) => {
+                let now = context.clock.now();
+                let text = format_args!("with {address}: {reason}");
+                context.journal.record_limited(now, &event::LINK_LOST, text);
+            }
+            link::Event::Received(address, bytes) => self.receive(address, &bytes),
         }
-        Err(error) => {
-            let text = format_args!("over a link: {error}");
-            context.drop_datagram(Counter::BadPeer, &event::BAD_PEER_DATAGRAM, text);
+    }
+
+    fn receive(&mut self, source: SocketAddr, bytes: &[u8]) {
+        let context = self.context;
+        match datagram::from_slice(bytes) {
+            Ok(Datagram::Control(control)) => {
+                let roster = context.roster();
+                let sender = roster.get(control.from).map(|row| row.member.address);
+                let source = sender.unwrap_or(source);
+                peers::accept_control(context, &mut self.scratch, source, control);
+            }
+            Ok(Datagram::Transit(_)) => {
+                let text = format_args!("a caller's datagram over a link of {source}");
+                context.drop_datagram(Counter::BadPeer, &event::BAD_PEER_DATAGRAM, text);
+            }
+            Err(error) => {
+                let text = format_args!("over a link of {source}: {error}");
+                context.drop_datagram(Counter::BadPeer, &event::BAD_PEER_DATAGRAM, text);
+            }
         }
     }
 }
+
+fn owner(member: &member::Member) -> owner::Member {
+    owner::Member {
+        id: member.id,
+        zone: member.place.zone.clone(),
+        address: member.place.address,
+    }
+}
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -5,7 +5,8 @@
         admin,
         clock::Clock,
         context::Context,
-        control, event, follower, ingress,
+        control::{self, Input},
+        event, follower, ingress,
         metrics::Metrics,
         peers,
         receiver::{self, Handler},
@@ -13,10 +14,14 @@
         sockets::{self, Addresses, BindError, Listeners, Sockets},
         timer, upstreams,
     },
-    crossbeam::channel::Receiver,
+    crossbeam::channel::{self, Receiver},
     derive_more::{Display, Error, From},
-    skylarkflow_peer::link,
-    skylarkflow_policy::{balancer::Core, dispatch::Fifo, id},
+    skylarkflow_policy::{
+        balancer::{self, Core},
+        dispatch::Factory,
+        id,
+        pool::{self, Dispatcher},
+    },
     std::{
         io,
         net::UdpSocket,
@@ -68,13 +73,15 @@
         let metrics = Arc::new(Metrics::new(&settings.metrics)?);
         let clock = Clock::start();
         let id = id::from_name(&settings.name);
-        let core = Core::new(id, clock.incarnation(), Fifo::factory());
+        let incarnation = clock.incarnation();
+        let core = Core::with_settings(id, incarnation, limits(&settings), factory(incarnation));
         let runtime = runtime()?;
-        let (links, events) = control::links(&settings.limits, runtime.handle(), &metrics);
-        let context = Context::new(settings, core, sockets, clock, metrics, links);
+        let (inbox, inputs) = channel::bounded(settings.limits.control_queue);
+        let links = control::links(&settings.limits, runtime.handle(), &metrics, &inbox);
+        let context = Context::new(settings, core, sockets, clock, metrics, links, inbox);
         let context = Arc::new(context);
         start_tasks(&context, &runtime, listeners)?;
-        let threads = start_threads(&context, events)?;
+        let threads = start_threads(&context, &addresses, inputs)?;
         record_start(&context, &addresses);
         Ok(Handle {
             context,
@@ -136,6 +143,23 @@
     })
 }
 
+fn limits(settings: &Settings) -> balancer::Settings {
+    let limits = &settings.limits;
+    balancer::Settings {
+        flows: limits.flows,
+        idle: limits.flow_idle,
+        cache_bytes: limits.cache_bytes,
+    }
+}
+
+fn factory(seed: u64) -> Factory {
+    let settings = pool::Settings {
+        seed,
+        ..pool::Settings::default()
+    };
+    Dispatcher::factory(settings, 1)
+}
+
 fn runtime() -> io::Result<Runtime> {
     let mut builder = runtime::Builder::new_multi_thread();
     let builder = builder.worker_threads(RUNTIME_THREADS).enable_all();
@@ -150,7 +174,8 @@
 
 fn start_threads(
     context: &Arc<Context>,
-    events: Receiver<link::Event>,
+    addresses: &Addresses,
+    inputs: Receiver<Input>,
 ) -> io::Result<Vec<JoinHandle<()>>> {
     type Source = (&'static str, usize, fn(&Context) -> &UdpSocket, Handler);
     let workers = context.settings.workers;
@@ -180,7 +205,8 @@
     }
     let control = thread::Builder::new().name("control".to_owned());
     let controlled = Arc::clone(context);
-    threads.push(control.spawn(move || control::run(&controlled, &events))?);
+    let address = addresses.peer;
+    threads.push(control.spawn(move || control::run(&controlled, address, &inputs))?);
     let context = Arc::clone(context);
     let timer = thread::Builder::new().name("timer".to_owned());
     threads.push(timer.spawn(move || timer::run(&context))?);
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -62,6 +62,7 @@
     4009 NOT_OWNER Info "datagram" "A datagram was dropped: its flow belongs to another balancer.";
     4010 SEND_FAILED Warn "datagram" "A datagram could not be sent.";
     4011 OVERSIZED Warn "datagram" "A datagram was longer than the limit and dropped.";
+    4012 UNKNOWN_UPSTREAM Info "datagram" "A datagram was dropped: the upstream of its flow is not in the tables yet.";
     5001 CONFIGURATION_ADOPTED Info "config" "A route or a pool came into force.";
     5002 CONFIGURATION_OLDER Warn "config" "An older generation was offered and not adopted.";
     5003 PLATFORM_FAILED Warn "config" "A call to the platform failed; the last configuration stays in force.";
@@ -76,6 +77,7 @@
     6005 LINK_LOST Warn "link" "A link to a balancer was lost or could not be opened.";
     6006 CONTROL_DROPPED Warn "link" "A control message was dropped: a queue is full or the balancer is unknown.";
     6007 ADDRESS_HELD Info "config" "An address that served another service before is held back from work.";
+    6008 VIEW_ADOPTED Info "member" "Owner tables of other members came into force.";
     7001 ADMIN_REFUSED Warn "admin" "A call of the administration API carried no valid token.";
     7002 ADMIN_DRAIN Info "admin" "An operator has started a planned stop over the administration API.";
 }
--- a/crates/skylarkflow/src/follower.rs
+++ b/crates/skylarkflow/src/follower.rs
@@ -1,21 +1,13 @@
 //! Follows the platform: the VM list and the operators' tables.
 
 use {
-    crate::{
-        context::{Context, Roster, Row},
-        event,
-        metrics::Counter,
-    },
+    crate::{context::Context, control::Input, event, metrics::Counter},
     serde_json::Value,
     skylarkflow_platform::{
         store::Store,
         wire::{self, Listing, Object},
     },
-    skylarkflow_policy::{
-        config::{self, Snapshot},
-        owner::{Member, View},
-        vm::{Record, Role, State},
-    },
+    skylarkflow_policy::config::{self, Snapshot},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time,
 };
@@ -23,13 +15,9 @@
 /// Time between two looks at the platform.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which a look at the platform allows dispatches of non-idempotent requests.
-const FENCE_TIME: Duration = Duration::from_secs(3_600);
-
 struct Follower {
     context: Arc<Context>,
     store: Store,
-    vms: Vec<Record>,
     objects: BTreeMap<String, Object>,
     is_failing: bool,
 }
@@ -39,7 +27,6 @@
     let mut follower = Follower {
         store: Store::new(&context.settings.platform),
         context,
-        vms: Vec::new(),
         objects: BTreeMap::new(),
         is_failing: false,
     };
@@ -53,15 +40,13 @@
     async fn refresh(&mut self) {
         let vms = self.store.vms().await;
         if let Some(vms) = self.checked(vms) {
-            self.adopt_vms(vms);
+            self.context.enqueue(Input::Listed(vms));
         }
         let listing = self.store.list("").await;
         if let Some(listing) = self.checked(listing) {
             self.adopt_tables(listing);
         }
-        if !self.vms.is_empty() && !self.objects.is_empty() {
-            self.context.set_serving();
-        }
+        self.context.check_serving();
     }
 
     fn checked<T>(&mut self, answer: skylarkflow_platform::Result<T>) -> Option<T> {
@@ -85,37 +70,6 @@
         }
     }
 
-    fn adopt_vms(&mut self, vms: Vec<Record>) {
-        let now = self.context.clock.now();
-        self.context.core.set_fence(now, now + FENCE_TIME);
-        if vms == self.vms {
-            return;
-        }
-        let entries = vms.iter().filter(|vm| vm.role == Role::Entry);
-        let rows: Vec<Row> = entries.map(row).collect();
-        self.record_members(&rows);
-        let zones = &self.context.settings.zones;
-        self.context.core.set_view(now, view(zones, &rows));
-        self.context.set_roster(Roster::new(rows));
-        self.vms = vms;
-    }
-
-    fn record_members(&self, rows: &[Row]) {
-        let before = self.context.roster();
-        for row in rows {
-            if before.get(row.member.id) != Some(row) {
-                let text = format_args!("{} is {} in the VM list", row.name, row.state);
-                self.context.journal.record(&event::MEMBER_CHANGED, text);
-            }
-        }
-        for row in &before.rows {
-            if !rows.iter().any(|new| new.name == row.name) {
-                let text = format_args!("{} is not in the VM list any more", row.name);
-                self.context.journal.record(&event::MEMBER_CHANGED, text);
-            }
-        }
-    }
-
     fn adopt_tables(&mut self, listing: Listing) {
         let objects = listing.objects.into_iter();
         let objects: BTreeMap<String, Object> =
@@ -149,31 +103,6 @@
     }
 }
 
-fn row(vm: &Record) -> Row {
-    Row {
-        name: vm.name.clone(),
-        member: Member {
-            id: vm.id(),
-            zone: vm.zone.clone(),
-            address: vm.address,
-        },
-        state: match vm.state {
-            State::Live => "alive",
-            State::Leaving => "leaving",
-        },
-    }
-}
-
-fn view(zones: &[String], rows: &[Row]) -> View {
-    let of = |state: &str| -> Vec<Member> {
-        let rows = rows.iter().filter(|row| row.state == state);
-        rows.map(|row| row.member.clone()).collect()
-    };
-    let known = rows.iter().map(|row| &*row.member.zone);
-    let zones = zones.iter().map(|zone| &**zone).chain(known);
-    View::new(zones, &of("alive")).with_leaving(&of("leaving"))
-}
-
 fn snapshot<'a>(objects: impl Iterator<Item = &'a Object>) -> Snapshot {
     let mut routes: Vec<config::Route> = Vec::new();
     let mut pools: Vec<config::Pool> = Vec::new();
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -76,6 +76,7 @@
     HopLimit "drops.hop_limit" "datagrams" "Datagrams that too many balancers have passed on.";
     TableFull "drops.full" "datagrams" "Datagrams dropped because a bounded table or queue was full.";
     NotOwner "drops.not_owner" "datagrams" "Datagrams of flows that belong to another balancer.";
+    UnknownUpstream "drops.unknown_upstream" "datagrams" "Datagrams of flows whose upstream is not in the tables yet.";
     SendFailed "drops.send_failed" "datagrams" "Datagrams that the operating system did not send.";
     ConfigAdopted "config.adopted" "objects" "Routes and pools that came into force.";
     PlatformCalls "platform.calls" "calls" "Calls to the platform; a waiting watch counts as one.";
@@ -85,7 +86,8 @@
 
 metrics! { Gauge, GAUGES:
     Ready "ready" "boolean" "1 while the balancer takes new flows, else 0.";
-    Members "members" "balancers" "Balancers in the view in force, this one included.";
+    Fence "fence_held" "boolean" "1 while this balancer hears from a majority of its zone, else 0.";
+    Members "members" "balancers" "Balancers that own flows, this one included.";
     Routes "config.routes" "routes" "Routes in force.";
     Pools "config.pools" "pools" "Pools in force.";
     Flows "flows.open" "flows" "Flow entries of this balancer.";
--- a/crates/skylarkflow/src/notes.rs
+++ b/crates/skylarkflow/src/notes.rs
@@ -148,6 +148,7 @@
     let (counter, event) = match reason {
         Drop::UnknownService => (Counter::UnknownService, &event::UNKNOWN_SERVICE),
         Drop::NotOwner => (Counter::NotOwner, &event::NOT_OWNER),
+        Drop::UnknownUpstream => (Counter::UnknownUpstream, &event::UNKNOWN_UPSTREAM),
         Drop::Full => (Counter::TableFull, &event::TABLE_FULL),
     };
     context.drop_datagram(counter, event, format_args!("of {}", Flow(key)));
--- a/crates/skylarkflow/src/perform.rs
+++ b/crates/skylarkflow/src/perform.rs
@@ -14,6 +14,7 @@
         balancer::{Action, Event},
         exchange::{Reply, Token},
         flow::Key,
+        handover,
         id::VmId,
     },
     skylarkflow_upstream::message::{self as upstream_message, Dispatch},
@@ -90,7 +91,7 @@
             address,
             message_id,
         } => acknowledge(context, address, message_id),
-        Action::Send { to, message } => send(context, to, Message::Handover(message)),
+        Action::Send { to, message } => send(context, to, message),
         Action::Log(note) => notes::record(context, &note),
     }
 }
@@ -134,22 +135,28 @@
     }
 }
 
+/// Sends a handover message to another balancer.
+fn send(context: &Context, to: VmId, message: handover::Message) {
+    match context.core.address(context.clock.now(), to) {
+        Some(address) => send_control(context, to, address, Message::Handover(message)),
+        None => drop_control(context, to, "its address is not known"),
+    }
+}
+
 /// Sends a message to another balancer, as a datagram if it is small enough, otherwise over a link.
-pub fn send(context: &Context, to: VmId, message: Message) {
+pub fn send_control(context: &Context, to: VmId, address: SocketAddr, message: Message) {
     let control = Control {
         from: context.id(),
         message,
     };
-    let roster = context.roster();
-    let (Some(row), Ok(bytes)) = (roster.get(to), datagram::control_to_vec(&control)) else {
-        return drop_control(context, to, "it is not known");
+    let Ok(bytes) = datagram::control_to_vec(&control) else {
+        return drop_control(context, to, "it cannot be encoded");
     };
-    context.metrics.count(Counter::ControlSent);
     let length = bytes.len();
+    context.metrics.count(Counter::ControlSent);
     context
         .metrics
         .add(Counter::ControlBytesSent, length as u64);
-    let address = row.member.address;
     if length <= context.settings.limits.control_bytes {
         context.send(&context.sockets.peer, address, &bytes);
     } else if !context.links.send(to, address, bytes) {
--- a/crates/skylarkflow/src/settings.rs
+++ b/crates/skylarkflow/src/settings.rs
@@ -19,6 +19,10 @@
 /// Largest UDP payload over IPv4, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 65_507;
 
+/// Least time after which an idle flow may end: EXCHANGE_LIFETIME of RFC 7252, since a retransmission must find the
+/// window of its flow.
+const MIN_FLOW_IDLE: Duration = Duration::from_secs(247);
+
 /// Settings of a balancer, read from YAML; see [the settings page](../../../docs/settings.md).
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -77,6 +81,13 @@
     pub links: usize,
     /// Control messages that wait for the control thread; more are dropped and counted.
     pub control_queue: usize,
+    /// Open flows.
+    pub flows: usize,
+    /// Time without a request after which a flow has ended.
+    #[serde(with = "humantime_serde")]
+    pub flow_idle: Duration,
+    /// Cached responses for retransmissions, in bytes.
+    pub cache_bytes: usize,
     /// Receive buffer of each UDP socket, in bytes; the kernel may give less.
     pub socket_bytes: usize,
 }
@@ -244,11 +255,14 @@
     fn default() -> Limits {
         Limits {
             datagram_bytes: MAX_DATAGRAM_BYTES,
-            control_bytes: 1_200,
+            control_bytes: 1_400,
             link_bytes: 4 << 20,
             link_queue: 256,
             links: 64,
             control_queue: 4_096,
+            flows: 400_000,
+            flow_idle: Duration::from_secs(3_600),
+            cache_bytes: 16 << 20,
             socket_bytes: 4 << 20,
         }
     }
@@ -344,6 +358,10 @@
     if settings.drain.quiet >= settings.drain.limit {
         findings.push(finding("drain.quiet", "is not below drain.limit"));
     }
+    if settings.limits.flow_idle < MIN_FLOW_IDLE {
+        let least = humantime::format_duration(MIN_FLOW_IDLE);
+        findings.push(finding("limits.flow_idle", format!("is below {least}")));
+    }
     if settings.metrics.interval.is_zero() {
         findings.push(finding("metrics.interval", "is zero"));
     }
@@ -393,6 +411,8 @@
         ("limits.link_queue", limits.link_queue, 1, 65_536),
         ("limits.links", limits.links, 1, 4_096),
         ("limits.control_queue", limits.control_queue, 1, 1 << 20),
+        ("limits.flows", limits.flows, 64, 1 << 26),
+        ("limits.cache_bytes", limits.cache_bytes, 65_536, 4 << 30),
         ("limits.socket_bytes", limits.socket_bytes, 4_096, 256 << 20),
         ("admin.connections", settings.admin.connections, 1, 4_096),
         ("log.queue", log.queue.0, 1, 1 << 24),
--- a/crates/skylarkflow/src/state.rs
+++ b/crates/skylarkflow/src/state.rs
@@ -21,12 +21,12 @@
         name: context.settings.name.clone(),
         zone: context.settings.zone.clone(),
         uptime_ms: milliseconds(context.clock.now()),
-        fence_held: true,
+        fence_held: context.metrics.gauge(Gauge::Fence) == 1,
         drain: drain(context),
         members: context.roster().rows.iter().map(member).collect(),
         routes,
         pools,
-        flows: context.metrics.gauge(Gauge::Flows),
+        flows: context.core.flows() as u64,
         counters: context.metrics.snapshot(),
     }
 }
--- a/crates/skylarkflow/tests/support/mod.rs
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod site;
 
 use {
+    coap_lite::{MessageClass, Packet, RequestType, ResponseType},
     reqwest::{Client, header::IF_MATCH},
     serde_json::{Value, json},
     skylarkflow_emulator::caller::Caller,
@@ -23,6 +24,9 @@
 /// Generous limit for a condition to hold.
 pub const LIMIT: Duration = Duration::from_secs(20);
 
+/// Answers in a row after which a deployment has started.
+const ANSWERS: u32 = 40;
+
 /// Time between two looks at a condition.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -101,7 +105,7 @@
         for index in 0..balancers {
             let path = directory.path().join(format!("entry-{index}.yaml"));
             let zone = ["tacoma", "salem"][index % 2];
-            let text = format!("name: entry-{index}\nzone: {zone}\nplatform: {base}\n");
+            let text = format!("name: entry-{index}\nzone: {zone}\nplatform: {base}\nlog: {{level: warn}}\n");
             fs::write(&path, text).expect("the settings are written");
             let path = path.to_str().expect("a path in UTF-8");
             let balancer = Process::start(&["run", "--settings", path]);
@@ -171,16 +175,24 @@
     fs::read_to_string(&path).expect("the page exists")
 }
 
-/// Repeats a request on new flows until one is answered.
+/// Repeats a request on new flows until several in a row are answered, so that every balancer has members, tables and
+/// the majority that non-idempotent requests need.
 pub fn first_answer(service: SocketAddr) -> Caller {
     let end = Instant::now() + LIMIT;
+    let mut answered = 0;
     while Instant::now() < end {
         let mut caller = Caller::new(service).expect("a socket");
         let timeout = Duration::from_millis(200);
-        if caller
-            .request(coap_lite::RequestType::Get, "ready", timeout)
-            .is_ok()
-        {
+        let answer = caller.request(RequestType::Post, "ready", timeout);
+        let has_run =
+            |answer: &Packet| answer.header.code == MessageClass::Response(ResponseType::Created);
+        if answer.is_ok_and(|answer| has_run(&answer)) {
+            answered += 1;
+        } else {
+            answered = 0;
+            thread::sleep(POLL_INTERVAL);
+        }
+        if answered == ANSWERS {
             return caller;
         }
     }
--- a/crates/skylarkflow/tests/support/site.rs
+++ b/crates/skylarkflow/tests/support/site.rs
@@ -9,7 +9,7 @@
         platform::Platform,
         upstream::{self, Behaviour, Upstream},
     },
-    skylarkflow_operator::wire::State,
+    skylarkflow_operator::wire::{Phase, State},
     std::{
         collections::BTreeMap,
         fs,
@@ -170,12 +170,15 @@
         })
     }
 
-    /// Waits until every balancer knows `members` members and the tables.
+    /// Waits until every balancer knows `members` members and the tables and hears a majority of its zone.
     pub fn wait_until_serving(&self, members: usize) {
         wait_until("every balancer serves", || {
             (0..self.balancers.len()).all(|index| {
-                self.state(index)
-                    .is_some_and(|state| state.members.len() >= members && !state.pools.is_empty())
+                self.state(index).is_some_and(|state| {
+                    state.fence_held
+                        && alive(&state) >= members
+                        && state.drain.phase == Phase::Serving
+                })
             })
         });
     }
@@ -197,6 +200,12 @@
     }
 }
 
+/// Returns the number of members that are alive.
+pub fn alive(state: &State) -> usize {
+    let members = state.members.iter();
+    members.filter(|member| member.state == "alive").count()
+}
+
 /// Waits until a condition holds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Duration {
     let start = Instant::now();
