Hold long requests until a short one was answered quickly just now

Cause: a long request was sent up to 4 times the no-load latency after a quick short answer, and at the latest 3 no-load latencies of a long one after its arrival. In that time another balancer's long request often takes the slot.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -47,6 +47,8 @@
     /// Age of a short request in flight, as a multiple of the latency without load, from which on its upstream seems
     /// occupied by long requests and gets no further request.
     pub blocked: f64,
+    /// Latency up to which a short request was answered quickly, as a multiple of the latency without load.
+    pub quick: f64,
     /// Longest time that a long request waits for a short one to be answered quickly, as a multiple of the latency of
     /// long requests without load. Such an answer shows that long requests do not hold all slots.
     pub hold: f64,
@@ -115,7 +117,8 @@
             queue: 64,
             patience: 0.5,
             blocked: 4.0,
-            hold: 3.0,
+            quick: 1.0,
+            hold: 5.0,
             seed: 0,
         }
     }
@@ -345,12 +348,13 @@
         let Some(short) = self.classes.no_load(Kind::Short) else {
             return true;
         };
-        let quick = Duration::from_secs_f64(short * self.settings.blocked);
+        let stuck = Duration::from_secs_f64(short * self.settings.blocked);
+        let quick = Duration::from_secs_f64(short * self.settings.quick);
         let long = self.classes.no_load(Kind::Long).unwrap_or(0.0);
         let hold = Duration::from_secs_f64(long * self.settings.hold);
         let upstream = self.upstreams.get(&id);
         upstream.is_some_and(|upstream| match kind {
-            Kind::Short => !upstream.is_blocked(now, quick),
+            Kind::Short => !upstream.is_blocked(now, stuck),
             Kind::Long => upstream.takes_long(now, quick, hold),
         })
     }
@@ -411,7 +415,7 @@
         upstream.lane_mut(kind).observe(seconds);
         if kind == Kind::Short {
             let usual = Duration::from_secs_f64(usual);
-            upstream.sense(now, latency, usual, self.settings.blocked);
+            upstream.sense(now, latency, usual, self.settings.quick);
         }
     }
 
