Add the settings and tables of two deployments

Cause: there was no complete set of settings and tables to start from, and nothing kept the limit of a planned stop above the routes' deadlines. Before: with the comparison of limits disabled, settings whose planned stop is shorter than a route's deadline are accepted. After: the product's own check accepts both examples: 9 and 8 settings, 2 routes, 2 pools and 18 upstreams each. Conclusion: the examples stay valid with the product's own rules.

--- a/crates/platform/src/finding.rs
+++ b/crates/platform/src/finding.rs
@@ -54,6 +54,12 @@
     /// An address moves from one service to another in one edit.
     #[display("T015")]
     Move,
+    /// The settings of a balancer are not usable.
+    #[display("T016")]
+    Settings,
+    /// A planned stop of a balancer would cut requests of a route.
+    #[display("T017")]
+    DrainLimit,
 }
 
 /// One finding with its place in a file.
@@ -71,6 +77,19 @@
     pub message: String,
 }
 
+impl Finding {
+    /// Returns a finding about a file as a whole.
+    pub fn of_file(file: &str, code: Code, message: impl Into<String>) -> Finding {
+        Finding {
+            file: file.to_owned(),
+            line: 0,
+            column: 0,
+            code,
+            message: message.into(),
+        }
+    }
+}
+
 impl Serialize for Code {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serializer.collect_str(self)
--- a/crates/skylarkflow/src/check.rs
+++ b/crates/skylarkflow/src/check.rs
@@ -11,12 +11,14 @@
     std::path::PathBuf,
 };
 
-/// Check both tables and report all findings with file, line and column. Nothing is written.
+/// Check both tables, and settings of balancers, and report all findings with file, line and column. Nothing is
+/// written.
 #[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
     name = "check",
     example = "Check the tables of a deployment:\n$ {command_name} --routes routes.yaml --pools pools.yaml",
+    example = "Check the settings of two balancers as well:\n$ {command_name} --routes routes.yaml --pools pools.yaml --settings tacoma-1.yaml --settings salem-1.yaml",
     example = "Give the findings to another program:\n$ {command_name} --routes routes.yaml --pools pools.yaml --json",
     error_code(2, "The tables have findings, or the arguments cannot be used.")
 )]
@@ -27,6 +29,9 @@
     /// path of the table of pools
     #[argh(option)]
     pools: PathBuf,
+    /// path of the settings of a balancer to check as well; repeatable
+    #[argh(option)]
+    settings: Vec<PathBuf>,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -36,21 +41,21 @@
     /// Runs the command.
     pub fn run(self) -> Result {
         let checked = tables::read(&self.routes, &self.pools);
+        let mut findings = tables::check_settings(&self.settings, checked.as_ref().ok());
+        match checked {
+            Ok(tables) if findings.is_empty() && !self.json => summarize(&tables),
+            Ok(_) => {}
+            Err(more) => findings.extend(more),
+        }
         if self.json {
-            let findings = checked.as_ref().err().map_or(&[][..], Vec::as_slice);
             println!("{}", json!({ "findings": findings }));
+        } else {
+            tables::print(&findings);
         }
-        match checked {
-            Ok(tables) if !self.json => summarize(&tables),
-            Ok(_) => {}
-            Err(findings) => {
-                if !self.json {
-                    tables::print(&findings);
-                }
-                return Err(Failure::findings(findings.len()));
-            }
+        if findings.is_empty() {
+            return Ok(());
         }
-        Ok(())
+        Err(Failure::findings(findings.len()))
     }
 }
 
--- a/crates/skylarkflow/src/tables.rs
+++ b/crates/skylarkflow/src/tables.rs
@@ -1,12 +1,16 @@
 //! The operator's two tables as files.
 
 use {
+    crate::settings,
     skylarkflow_platform::{
         check::{self, Tables},
         finding::{Code, Finding},
         table::{Pools, Routes},
     },
-    std::{fs, path::Path},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
 };
 
 /// Reads and checks both tables.
@@ -22,6 +26,32 @@
     }
 }
 
+/// Checks the settings of balancers, by themselves and against the deadlines of the routes.
+pub fn check_settings(paths: &[PathBuf], tables: Option<&Tables>) -> Vec<Finding> {
+    let routes = tables.map_or(&[][..], |tables| &tables.routes);
+    let longest = routes.iter().max_by_key(|route| route.deadline);
+    let mut findings = Vec::new();
+    for path in paths {
+        match settings::from_path(path) {
+            Ok(settings) => findings.extend(longest.and_then(|route| {
+                let limit = settings.drain.limit;
+                let message = format!(
+                    "drain.limit {limit:?} is below the deadline {:?} of route `{}`: a planned stop would cut its requests",
+                    route.deadline, route.name
+                );
+                let finding = Finding::of_file(&name(path), Code::DrainLimit, message);
+                (limit < route.deadline).then_some(finding)
+            })),
+            Err(error) => {
+                let text = error.to_string();
+                let first = text.lines().next().unwrap_or_default();
+                findings.push(Finding::of_file(&name(path), Code::Settings, first));
+            }
+        }
+    }
+    findings
+}
+
 /// Prints findings to standard output, one a line.
 pub fn print(findings: &[Finding]) {
     for finding in findings {
@@ -34,11 +64,8 @@
 }
 
 fn read_file(path: &Path) -> Result<Vec<u8>, Finding> {
-    fs::read(path).map_err(|error| Finding {
-        file: name(path),
-        line: 0,
-        column: 0,
-        code: Code::Unreadable,
-        message: error.to_string(),
+    fs::read(path).map_err(|error| {
+        let message = error.to_string();
+        Finding::of_file(&name(path), Code::Unreadable, message)
     })
 }
--- /dev/null
+++ b/crates/skylarkflow/tests/examples.rs
@@ -0,0 +1,106 @@
+//! The examples of two deployments.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+fn directory(name: &str) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(name)
+}
+
+/// Checks the tables and the settings of all entry VMs of a deployment.
+fn check(directory: &Path, pools: &Path) -> (Option<i32>, String, usize) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_skylarkflow"));
+    command
+        .arg("check")
+        .arg("--routes")
+        .arg(directory.join("routes.yaml"));
+    command.arg("--pools").arg(pools);
+    let entries = fs::read_dir(directory).expect("a directory");
+    let mut settings: Vec<PathBuf> = entries
+        .map(|entry| entry.expect("an entry").path())
+        .collect();
+    let tables = ["routes.yaml", "pools.yaml"];
+    settings.retain(|path| {
+        path.extension().is_some_and(|text| text == "yaml")
+            && !tables.iter().any(|table| path.ends_with(table))
+    });
+    for path in &settings {
+        command.arg("--settings").arg(path);
+    }
+    let output = command.output().expect("the binary starts");
+    let text = String::from_utf8(output.stdout).expect("text");
+    (output.status.code(), text, settings.len())
+}
+
+fn check_example(name: &str) -> (String, usize) {
+    let directory = directory(name);
+    let (code, text, settings) = check(&directory, &directory.join("pools.yaml"));
+    assert_eq!(code, Some(0), "{text}");
+    (text, settings)
+}
+
+/// Guards against an example that an operator cannot use, and against sizes other than those of the design page.
+#[test]
+fn the_examples_have_no_findings() {
+    let (text, settings) = check_example("cascade");
+    assert_eq!(text, "2 routes, 2 pools, 18 upstreams: no findings\n");
+    assert_eq!(settings, 9);
+    let (text, settings) = check_example("verfkant");
+    assert_eq!(text, "2 routes, 2 pools, 18 upstreams: no findings\n");
+    assert_eq!(settings, 8);
+}
+
+/// Guards against limits of the examples that drift from the design page.
+#[test]
+fn the_pools_have_the_sizes_of_the_design_page() {
+    for (name, slots, large, small) in [
+        ("cascade", 2, "dispatch", "manifests"),
+        ("verfkant", 3, "siteline", "swatchbook"),
+    ] {
+        let text = fs::read_to_string(directory(name).join("pools.yaml")).expect("a table");
+        let table: serde_json::Value = serde_saphyr::from_str(&text).expect("YAML");
+        for (index, (pool, count)) in [(large, 14), (small, 4)].into_iter().enumerate() {
+            let row = &table["pools"][index];
+            assert_eq!(row["name"], pool);
+            assert_eq!(row["slots"], slots);
+            assert_eq!(row["connections"], 2_000);
+            assert_eq!(row["upstreams"].as_array().map(Vec::len), Some(count));
+        }
+    }
+}
+
+/// Guards against a planned stop that cuts requests because the settings and the tables do not fit together.
+#[test]
+fn settings_that_do_not_fit_the_tables_are_findings() {
+    let scratch = tempfile::TempDir::new().expect("a temporary directory");
+    let write = |name: &str, text: &str| {
+        fs::write(scratch.path().join(name), text).expect("a file");
+    };
+    write(
+        "routes.yaml",
+        "routes: [{name: a, address: '10.0.0.1:7001', pool: a, deadline: 40s}]",
+    );
+    write(
+        "pools.yaml",
+        "pools: [{name: a, slots: 1, connections: 1, upstreams: [{name: u, address: '10.0.1.1:1', zone: z}]}]",
+    );
+    write("short.yaml", "drain: {limit: 39s}");
+    write("wrong.yaml", "name: ''\nzone: ''");
+    let (code, text, _) = check(scratch.path(), &scratch.path().join("pools.yaml"));
+    assert_eq!(code, Some(2));
+    assert_eq!(text.lines().count(), 2, "{text}");
+    assert!(
+        text.contains("short.yaml: T017: drain.limit 39s is below the deadline 40s"),
+        "{text}"
+    );
+    assert!(
+        text.contains(
+            "wrong.yaml: T016: the settings are not usable: name: is empty; zone: is empty"
+        ),
+        "{text}"
+    );
+}
