Take configuration, drains and platform calls from the control node

Cause: the daemon listed the whole store every 250 ms and adopted whatever it found, also an older state.

The daemon makes the calls on the asynchronous runtime, reads and writes objects and tombstones (platform::object), records each adoption, and passes on the draining flag that upstreams report in their responses, at most once a second for each upstream.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod finding;
 mod node;
+pub mod object;
 pub mod plan;
 pub mod store;
 pub mod table;
--- a/crates/skylarkflow/src/context.rs
+++ b/crates/skylarkflow/src/context.rs
@@ -7,6 +7,7 @@
         event::{self, Event},
         journal::Journal,
         metrics::{Counter, Gauge, Metrics},
+        reports::Reports,
         settings::Settings,
         sockets::Sockets,
     },
@@ -45,6 +46,8 @@
     pub metrics: Arc<Metrics>,
     /// Links to other balancers.
     pub links: Links,
+    /// What upstreams report about themselves.
+    pub reports: Reports,
     /// Messages to the control thread.
     inbox: Sender<Input>,
     /// Balancers that this one knows.
@@ -119,6 +122,7 @@
             metrics,
             links,
             inbox,
+            reports: Reports::default(),
             members: RwLock::default(),
             drain: Mutex::default(),
             draining: AtomicBool::default(),
--- a/crates/skylarkflow/src/control.rs
+++ b/crates/skylarkflow/src/control.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        adoption,
         context::{Context, Roster, Row},
         event,
         metrics::{Counter, Gauge, Metrics},
@@ -17,6 +18,7 @@
         link::{self, Links},
     },
     skylarkflow_policy::{
+        config_reader::{Answer, Call},
         id::{Map, VmId},
         member::{self, State},
         node::{self, Action, Node},
@@ -24,7 +26,7 @@
         quorum, vm,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::runtime,
+    tokio::{runtime, sync::mpsc},
 };
 
 /// Time between two ticks of the membership.
@@ -41,8 +43,8 @@
 pub enum Input {
     /// Something happened on a link.
     Link(link::Event),
-    /// The platform returned its VM list.
-    Listed(Vec<vm::Record>),
+    /// The platform answered a call.
+    Answered(Answer),
     /// A message of another balancer.
     Node {
         /// Address of its peer socket.
@@ -50,6 +52,13 @@
         /// The message.
         message: node::Message,
     },
+    /// An upstream has reported whether it is draining.
+    Reported {
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Whether it is draining.
+        draining: bool,
+    },
     /// A planned stop has started.
     Leave,
 }
@@ -57,6 +66,7 @@
 struct Control<'a> {
     context: &'a Context,
     node: Node,
+    calls: mpsc::Sender<Call>,
     names: Map<VmId, String>,
     ids: Map<SocketAddr, VmId>,
     actions: Vec<Action>,
@@ -89,8 +99,13 @@
 }
 
 /// Drives the membership until the balancer stops.
-pub fn run(context: &Context, address: SocketAddr, inputs: &Receiver<Input>) {
-    let mut control = Control::new(context, address);
+pub fn run(
+    context: &Context,
+    address: SocketAddr,
+    inputs: &Receiver<Input>,
+    calls: mpsc::Sender<Call>,
+) {
+    let mut control = Control::new(context, address, calls);
     while !context.is_stopped() {
         match inputs.recv_timeout(POLL_INTERVAL) {
             Ok(input) => control.accept(input),
@@ -105,7 +120,7 @@
 }
 
 impl<'a> Control<'a> {
-    fn new(context: &'a Context, address: SocketAddr) -> Control<'a> {
+    fn new(context: &'a Context, address: SocketAddr, calls: mpsc::Sender<Call>) -> Control<'a> {
         let me = member::Identity {
             id: context.id(),
             place: member::Place {
@@ -119,6 +134,7 @@
         Control {
             context,
             node: Node::new(node::Settings::default(), me, seed),
+            calls,
             names: names.into_iter().collect(),
             ids: Map::default(),
             actions: Vec::new(),
@@ -132,18 +148,31 @@
     fn accept(&mut self, input: Input) {
         match input {
             Input::Link(event) => self.accept_link(event),
-            Input::Listed(records) => {
-                let names = records.iter().map(|vm| (vm.id(), vm.name.clone()));
-                self.names.extend(names);
-                let is_entry = |vm: &vm::Record| vm.role == vm::Role::Entry;
-                let records = records.into_iter().filter(is_entry).collect();
-                self.handle(node::Event::Listed(records));
+            Input::Answered(answer) => {
+                if let Answer::Vms(records) = &answer {
+                    self.learn_names(records);
+                }
+                self.handle(node::Event::Answered(answer));
             }
+            Input::Reported { address, draining } => self.report(address, draining),
             Input::Node { from, message } => self.handle(node::Event::Received { from, message }),
             Input::Leave => self.handle(node::Event::Leave),
         }
     }
 
+    fn learn_names(&mut self, records: &[vm::Record]) {
+        for vm in records {
+            self.names.entry(vm.id()).or_insert_with(|| vm.name.clone());
+        }
+    }
+
+    fn report(&mut self, address: SocketAddr, draining: bool) {
+        let upstreams = self.node.relay().store().upstreams();
+        for &upstream in upstreams.get(&address).into_iter().flatten() {
+            self.handle(node::Event::Upstream { upstream, draining });
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.context.clock.now();
         if now.saturating_sub(self.ticked) >= TICK_INTERVAL {
@@ -159,6 +188,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.node.handle(now, event, &mut actions);
         let mut has_changed = false;
+        let mut has_tables = false;
         for action in actions.drain(..) {
             match action {
                 Action::Send { to, message } => {
@@ -166,9 +196,19 @@
                     perform::send_control(self.context, id, to, Message::Node(message));
                 }
                 Action::View => has_changed = true,
+                Action::Tables => has_tables = true,
+                Action::Call(call) => self.call(call),
+                Action::Older { key } => {
+                    let text = format_args!("{key} in the store; the newer one stays in force");
+                    let journal = &self.context.journal;
+                    journal.record_limited(now, &event::CONFIGURATION_OLDER, text);
+                }
             }
         }
         self.actions = actions;
+        if has_tables {
+            self.adopt_tables(now);
+        }
         // The first view follows when enough is known, which need not be a change of the members.
         let is_first = !self.has_view && self.node.member().has_joined();
         if is_first || has_changed && self.has_view {
@@ -178,6 +218,24 @@
         }
     }
 
+    fn call(&self, call: Call) {
+        // A call that finds no place has no answer, and its time limit makes room for the next one.
+        if self.calls.try_send(call).is_err() {
+            self.context.metrics.count(Counter::PlatformFailed);
+        }
+    }
+
+    /// Puts routes and pools in force.
+    fn adopt_tables(&mut self, now: Duration) {
+        let tables = Arc::new(self.node.tables(now));
+        let before = self.context.core.tables();
+        adoption::record(self.context, &before, &tables);
+        self.context.core.set_tables(now, tables);
+        let listed = self.node.relay().store().listed();
+        self.learn_names(&listed);
+        self.context.check_serving();
+    }
+
     /// Puts the owner tables of the members in force.
     fn adopt_view(&self, now: Duration) {
         let deployment = self.node.deployment();
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        admin,
+        admin, caller,
         clock::Clock,
         context::Context,
         control::{self, Input},
-        event, follower, ingress,
+        event, ingress,
         metrics::Metrics,
         peers,
         receiver::{self, Handler},
@@ -18,6 +18,7 @@
     derive_more::{Display, Error, From},
     skylarkflow_policy::{
         balancer::{self, Core},
+        config_reader::Call,
         dispatch::Factory,
         id,
         pool::{self, Dispatcher},
@@ -29,7 +30,10 @@
         thread::{self, JoinHandle},
         time::Duration,
     },
-    tokio::runtime::{self, Runtime},
+    tokio::{
+        runtime::{self, Runtime},
+        sync::mpsc,
+    },
 };
 
 /// Threads of the asynchronous runtime: links, administration API and store client.
@@ -38,6 +42,9 @@
 /// Time that the asynchronous runtime gets to end its tasks.
 const RUNTIME_LIMIT: Duration = Duration::from_millis(500);
 
+/// Calls of the platform that wait for their task; a call that finds no place fails and is made again later.
+const CALLS: usize = 1_024;
+
 /// A balancer that cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -80,8 +87,8 @@
         let links = control::links(&settings.limits, runtime.handle(), &metrics, &inbox);
         let context = Context::new(settings, core, sockets, clock, metrics, links, inbox);
         let context = Arc::new(context);
-        start_tasks(&context, &runtime, listeners)?;
-        let threads = start_threads(&context, &addresses, inputs)?;
+        let calls = start_tasks(&context, &runtime, listeners)?;
+        let threads = start_threads(&context, &addresses, inputs, calls)?;
         record_start(&context, &addresses);
         Ok(Handle {
             context,
@@ -166,16 +173,23 @@
     builder.thread_name("tasks").build()
 }
 
-fn start_tasks(context: &Arc<Context>, runtime: &Runtime, listeners: Listeners) -> io::Result<()> {
+fn start_tasks(
+    context: &Arc<Context>,
+    runtime: &Runtime,
+    listeners: Listeners,
+) -> io::Result<mpsc::Sender<Call>> {
     context.links.listen(listeners.links)?;
-    runtime.spawn(follower::run(Arc::clone(context)));
-    admin::start(context, runtime.handle(), listeners.admin)
+    let (calls, called) = mpsc::channel(CALLS);
+    runtime.spawn(caller::run(Arc::clone(context), called));
+    admin::start(context, runtime.handle(), listeners.admin)?;
+    Ok(calls)
 }
 
 fn start_threads(
     context: &Arc<Context>,
     addresses: &Addresses,
     inputs: Receiver<Input>,
+    calls: mpsc::Sender<Call>,
 ) -> io::Result<Vec<JoinHandle<()>>> {
     type Source = (&'static str, usize, fn(&Context) -> &UdpSocket, Handler);
     let workers = context.settings.workers;
@@ -206,7 +220,7 @@
     let control = thread::Builder::new().name("control".to_owned());
     let controlled = Arc::clone(context);
     let address = addresses.peer;
-    threads.push(control.spawn(move || control::run(&controlled, address, &inputs))?);
+    threads.push(control.spawn(move || control::run(&controlled, address, &inputs, calls))?);
     let context = Arc::clone(context);
     let timer = thread::Builder::new().name("timer".to_owned());
     threads.push(timer.spawn(move || timer::run(&context))?);
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -4,8 +4,10 @@
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
 mod admin;
+mod adoption;
 mod apply;
 mod base;
+mod caller;
 mod check;
 pub mod clock;
 pub mod command;
@@ -15,7 +17,6 @@
 mod drain;
 pub mod emulate;
 pub mod event;
-mod follower;
 mod ingress;
 pub mod journal;
 mod listener;
@@ -25,6 +26,7 @@
 mod peers;
 pub mod perform;
 mod receiver;
+mod reports;
 mod run;
 pub mod settings;
 pub mod sockets;
--- /dev/null
+++ b/crates/skylarkflow/src/reports.rs
@@ -0,0 +1,51 @@
+//! What upstreams report about themselves in their responses.
+
+use {
+    crate::{context::Context, control::Input},
+    skylarkflow_policy::id::Map,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Time between two reports of one upstream that say the same.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The latest report of each upstream.
+#[derive(Debug, Default)]
+pub struct Reports {
+    latest: Mutex<Map<SocketAddr, Report>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    draining: bool,
+    passed: Duration,
+}
+
+impl Reports {
+    /// Passes a report to the control thread if it is news, or was passed some time ago.
+    pub fn note(&self, context: &Context, upstream: SocketAddr, draining: bool) {
+        if self.is_due(context.clock.now(), upstream, draining) {
+            context.enqueue(Input::Reported {
+                address: upstream,
+                draining,
+            });
+        }
+    }
+
+    fn is_due(&self, now: Duration, upstream: SocketAddr, draining: bool) -> bool {
+        let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
+        let report = latest.get(&upstream);
+        let is_known = report.is_some_and(|report| {
+            report.draining == draining && now < report.passed + REPEAT_INTERVAL
+        });
+        if !is_known {
+            let passed = now;
+            latest.insert(upstream, Report { draining, passed });
+        }
+        !is_known
+    }
+}
--- a/crates/skylarkflow/src/upstreams.rs
+++ b/crates/skylarkflow/src/upstreams.rs
@@ -16,7 +16,10 @@
 pub fn accept(context: &Context, scratch: &mut Scratch, source: SocketAddr, bytes: &[u8]) {
     context.metrics.count(Counter::UpstreamDatagrams);
     match message::from_slice(bytes) {
-        Ok(Message::Response(response)) => {
+        Ok(Message::Response(response, load)) => {
+            if let Some(load) = load {
+                context.reports.note(context, source, load.draining);
+            }
             perform::handle(context, scratch, Event::Response { source, response });
         }
         // The response follows, and the deadline of the dispatch ends the wait.
--- a/crates/upstream/src/message.rs
+++ b/crates/upstream/src/message.rs
@@ -74,11 +74,24 @@
     packet.to_bytes().map_err(|_| Code::Encoding.into())
 }
 
+/// Load as an upstream reports it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Slots in use.
+    pub busy: u8,
+    /// Slots.
+    pub slots: u8,
+    /// Requests that wait.
+    pub queued: u8,
+    /// Whether the upstream is draining.
+    pub draining: bool,
+}
+
 /// A message of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Message {
-    /// A response.
-    Response(Response),
+    /// A response, with the load that the upstream reports.
+    Response(Response, Option<Load>),
     /// An empty message: an acknowledgement whose response follows, or a reset.
     Empty {
         /// Acknowledgement or reset.
@@ -100,7 +113,8 @@
         let message_id = packet.header.message_id;
         return Ok(Message::Empty { kind, message_id });
     }
-    response(&packet, kind, bytes).map(Message::Response)
+    let response = response(&packet, kind, bytes)?;
+    Ok(Message::Response(response, load(&packet)))
 }
 
 fn response(packet: &Packet, kind: Kind, bytes: &[u8]) -> Result<Response> {
@@ -121,10 +135,7 @@
     if code != ResponseType::ServiceUnavailable {
         return Ok(Outcome::Answered);
     }
-    let load = packet.get_first_option(LOAD_OPTION);
-    let draining = load
-        .and_then(|load| load.get(3))
-        .is_some_and(|&flag| flag != 0);
+    let draining = load(packet).is_some_and(|load| load.draining);
     Ok(if draining {
         Outcome::Draining
     } else {
@@ -132,6 +143,19 @@
     })
 }
 
+fn load(packet: &Packet) -> Option<Load> {
+    let &[busy, slots, queued, draining, ..] = packet.get_first_option(LOAD_OPTION)?.as_slice()
+    else {
+        return None;
+    };
+    Some(Load {
+        busy,
+        slots,
+        queued,
+        draining: draining != 0,
+    })
+}
+
 fn replace(packet: &mut Packet, option: CoapOption, value: &[u8]) {
     packet.clear_option(option);
     packet.add_option(option, value.to_vec());
