Let long requests give way only while short ones are refused

Cause: high latency alone lowered the limit of long requests to half of their share, at which a new long request is expected to wait too long and is refused.

Latency now lowers the limit to twice the share, and only the refusal of a short request to half of it.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -12,8 +12,10 @@
     pub increase: f64,
     /// Factor of the limit at a refusal or at high latency.
     pub decrease: f64,
-    /// Part of their share of the slots that long requests keep when short ones are slow.
+    /// Limit of long requests when short ones are slow, as a multiple of their share of the slots.
     pub long_floor: f64,
+    /// Limit of long requests when short ones are refused, as a multiple of their share of the slots.
+    pub long_least: f64,
     /// High latency, as a multiple of the latency without load.
     pub high: f64,
     /// Highest multiple that one sample counts as, so that one request behind a long one is not taken for overload.
@@ -66,7 +68,8 @@
         Settings {
             increase: 0.1,
             decrease: 0.8,
-            long_floor: 0.5,
+            long_floor: 2.0,
+            long_least: 0.5,
             high: 2.0,
             highest_sample: 4.0,
             smoothing: 0.1,
@@ -92,11 +95,11 @@
     /// Returns the range for long requests, which may hold all slots but one.
     pub fn long(settings: &Settings, slots: u32, balancers: u32) -> Range {
         let share = share(slots.saturating_sub(1).max(1), balancers);
-        let floor = share * settings.long_floor;
+        let ceiling = share.max(1.0);
         Range {
-            least: floor,
-            floor,
-            ceiling: share.max(1.0),
+            least: share * settings.long_least,
+            floor: (share * settings.long_floor).min(ceiling),
+            ceiling,
         }
     }
 }
@@ -171,6 +174,11 @@
         }
     }
 
+    /// Lowers the limit in favour of requests of the other kind, which have to be refused.
+    pub fn yield_slots(&mut self, now: Duration, latency: Duration) {
+        self.lower(now, latency, self.range.least);
+    }
+
     /// Takes note of an upstream's own report that requests wait there.
     ///
     /// A report only holds the limit; it neither raises nor lowers it, since upstreams misreport.
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -314,6 +314,13 @@
         Ok(())
     }
 
+    fn yield_slots(&mut self, now: Duration, id: UpstreamId) {
+        let usual = Duration::from_secs_f64(self.classes.no_load(Kind::Short).unwrap_or(0.0));
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.lane_mut(Kind::Long).limit.yield_slots(now, usual);
+        }
+    }
+
     /// Sends what the limits of an upstream allow and refuses what can no longer be answered in time.
     fn advance(&mut self, now: Duration, id: UpstreamId, verdicts: &mut Vec<Verdict>) {
         self.refuse_late(now, id, verdicts);
@@ -476,6 +483,9 @@
     fn submit(&mut self, now: Duration, job: Job, verdicts: &mut Vec<Verdict>) {
         let kind = self.classes.kind(job.class);
         if let Err(max_age) = self.is_accepted(now, &job, kind) {
+            if kind == Kind::Short {
+                self.yield_slots(now, job.upstream);
+            }
             verdicts.push(Verdict::Refuse {
                 id: job.id,
                 max_age,
