--- a/crates/emulator/src/call.rs
+++ b/crates/emulator/src/call.rs
@@ -30,6 +30,8 @@
     pub path: String,
     /// Query, which the emulated upstream repeats in its answer.
     pub query: Option<String>,
+    /// Service that the request names; a balancer adds it for callers that do not.
+    pub host: Option<String>,
     /// Payload.
     pub payload: Vec<u8>,
     /// Number of the block to read.
@@ -75,6 +77,7 @@
             method: RequestType::Get,
             path: "stops".to_owned(),
             query: None,
+            host: None,
             payload: Vec::new(),
             block: None,
         }
@@ -89,6 +92,9 @@
         packet.header.message_id = message_id;
         packet.set_token(message_id.to_be_bytes().to_vec());
         packet.add_option(CoapOption::UriPath, self.path.clone().into_bytes());
+        if let Some(host) = &self.host {
+            packet.add_option(CoapOption::UriHost, host.clone().into_bytes());
+        }
         if let Some(query) = &self.query {
             packet.add_option(CoapOption::UriQuery, query.clone().into_bytes());
         }
--- a/crates/emulator/src/caller.rs
+++ b/crates/emulator/src/caller.rs
@@ -101,13 +101,12 @@
     /// # Errors
     ///
     /// Fails if a block is not answered in time or is not the one asked for.
-    pub fn download(&mut self, path: &str, timeout: Duration) -> io::Result<Vec<u8>> {
+    pub fn download(&mut self, request: &Request, timeout: Duration) -> io::Result<Vec<u8>> {
         let mut bundle = Vec::new();
         for number in 0.. {
             let request = Request {
-                path: path.to_owned(),
                 block: Some(number),
-                ..Request::default()
+                ..request.clone()
             };
             let response = self.call(&request, timeout)?;
             let option = response.get_first_option_as::<BlockValue>(CoapOption::Block2);
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -247,7 +247,7 @@
                 path: arrival.kind.path.clone(),
                 query: Some(arrival.query.clone()),
                 payload: arrival.query.clone().into_bytes(),
-                block: None,
+                ..Request::default()
             };
             let mut call = Call::new(&request, self.next, &mut self.random);
             self.next = self.next.wrapping_add(1);
--- a/crates/skylarkflow/tests/signals.rs
+++ b/crates/skylarkflow/tests/signals.rs
@@ -3,8 +3,19 @@
 mod support;
 
 use {
-    std::{fs, path::PathBuf},
-    support::Process,
+    skylarkflow_emulator::upstream::{Behaviour, Upstream},
+    skylarkflow_operator::wire::Phase,
+    std::{
+        fs,
+        net::UdpSocket,
+        path::PathBuf,
+        sync::atomic::Ordering,
+        time::{Duration, Instant},
+    },
+    support::{
+        Process,
+        site::{Options, Site, wait_until},
+    },
     tempfile::TempDir,
 };
 
@@ -43,6 +54,37 @@
     }
 }
 
+/// Guards against a second signal that is ignored while the balancer waits for a request in flight, whose upstream never
+/// answers.
+#[test]
+fn a_second_signal_ends_the_process_at_once() {
+    let mut site = Site::start(&Options {
+        zones: vec!["tacoma"],
+        behaviour: Behaviour {
+            long_time: Duration::from_secs(60),
+            ..Behaviour::default()
+        },
+        ..Options::default()
+    });
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    // A confirmable GET for the path "long".
+    let request = [&[0x40, 0x01, 0, 1, 0xb4][..], b"long"].concat();
+    socket.send_to(&request, site.service).expect("a request");
+    wait_until("the request runs", || {
+        let ran = |one: &Upstream| one.counters().ran.load(Ordering::Relaxed);
+        site.upstreams.iter().map(ran).sum::<u64>() == 1
+    });
+    site.balancers[0].signal("TERM");
+    wait_until("the planned stop has started", || {
+        site.state(0)
+            .is_some_and(|state| state.drain.phase == Phase::Draining)
+    });
+    site.balancers[0].signal("TERM");
+    let start = Instant::now();
+    assert_eq!(site.balancers[0].wait(), Some(1));
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
 /// Guards against JSON lines that a log collector cannot parse.
 #[test]
 fn every_json_line_is_an_object_with_an_event() {
