Measure lookup tables and the tables in force against their size

Change: 'skylarkflow bench tables' prints series with a linear fit and its worst deviation, and writes them as JSON. Ruled out: a counting allocator, which needs unsafe code; resident memory is read from the system instead.

--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use {
-    crate::{daemon, emulate, settings::Settings},
+    crate::{bench, daemon, emulate, settings::Settings},
     argh::FromArgs,
     std::{error::Error, fs, path::PathBuf},
 };
@@ -19,6 +19,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(bench::Bench),
     Run(Run),
     Emulate(emulate::Emulate),
 }
@@ -36,6 +37,7 @@
     /// Runs the command.
     pub fn run(self) -> Result {
         match self.command {
+            Command::Bench(bench) => bench.run(),
             Command::Run(run) => run.run(),
             Command::Emulate(emulate) => emulate.run(),
         }
--- a/crates/skylarkflow/src/main.rs
+++ b/crates/skylarkflow/src/main.rs
@@ -1,8 +1,11 @@
 //! Layer-4 load balancer for small service operators.
 
+mod bench;
+mod bench_tables;
 mod command;
 mod daemon;
 mod emulate;
+mod measure;
 mod settings;
 
 use std::process::ExitCode;
