--- a/crates/policy/tests/control.rs
+++ b/crates/policy/tests/control.rs
@@ -30,7 +30,7 @@
 
 #[test]
 fn scenarios() {
-    datadriven::walk("tests/scenarios", |file| {
+    datadriven::walk("tests/scenarios/control", |file| {
         file.run(|case| {
             assert_eq!(case.directive, "script", "unknown directive");
             run(&case.input)
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -4,13 +4,17 @@
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
 mod admin;
+mod apply;
+mod base;
 pub mod bench;
 mod bench_tables;
+mod check;
 pub mod clock;
 pub mod command;
 pub mod context;
 mod control;
 pub mod daemon;
+mod drain;
 pub mod emulate;
 pub mod event;
 mod follower;
@@ -28,5 +32,7 @@
 pub mod settings;
 pub mod sockets;
 mod state;
+mod status;
+mod tables;
 mod timer;
 mod upstreams;
