Show a planned change under load in one command

Cause: a newcomer needs one command that shows what the product promises. Latencies are recorded without clamping: the histogram of the load generator kept values at its initial bound. Ruled out: scripts around separate processes, which a newcomer cannot read.

--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -298,7 +298,7 @@
             Outcome::Answered => {
                 tally.answered += 1;
                 let elapsed = arrival.time.elapsed().as_micros();
-                tally.latency.saturating_record(elapsed as u64);
+                let _ = tally.latency.record(elapsed as u64);
                 let text = String::from_utf8_lossy(&response.payload).into_owned();
                 tally.wrong += u64::from(!text.ends_with(&arrival.query));
                 let upstream = text.split(' ').next().map(str::to_owned);
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -148,6 +148,16 @@
         self.contents().objects.list(prefix, 0)
     }
 
+    /// Adds a row to the VM list, or replaces the one of the same name.
+    pub fn set_vm(&self, record: Record) {
+        self.contents().vms.insert(record.name.clone(), record);
+    }
+
+    /// Removes a row of the VM list.
+    pub fn remove_vm(&self, name: &str) {
+        self.contents().vms.remove(name);
+    }
+
     fn router(&self) -> Router {
         let faulty = middleware::from_fn_with_state(self.clone(), disturb);
         let api = Router::new()
--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        apply::Apply, bench::Bench, check::Check, drain::Drain, emulate, run::Run, status::Status,
+        apply::Apply, bench::Bench, check::Check, demo::Demo, drain::Drain, emulate, run::Run,
+        status::Status,
     },
     argh::FromArgs,
     derive_more::Display,
@@ -42,6 +43,7 @@
     Bench(Bench),
     Apply(Apply),
     Check(Check),
+    Demo(Demo),
     Drain(Drain),
     Emulate(emulate::Emulate),
     Run(Run),
@@ -83,6 +85,7 @@
             Command::Bench(bench) => bench.run(),
             Command::Apply(apply) => apply.run(),
             Command::Check(check) => check.run(),
+            Command::Demo(demo) => demo.run(),
             Command::Drain(drain) => drain.run(),
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
--- /dev/null
+++ b/crates/skylarkflow/src/demo_site.rs
@@ -0,0 +1,353 @@
+//! The processes of the demo, as threads of this process.
+
+use {
+    crate::{
+        daemon::{Daemon, Handle},
+        settings::{Level, Log, Settings},
+    },
+    coap_lite::RequestType,
+    derive_more::Display,
+    skylarkflow_emulator::{
+        caller::Caller,
+        fabric::{self, Fabric, Target},
+        platform::Platform,
+        upstream::{self, Behaviour, Upstream},
+    },
+    skylarkflow_platform::{store::Store, wire},
+    skylarkflow_policy::vm::{Record, Role, State},
+    std::{
+        fmt::{self, Display, Formatter},
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        str::FromStr,
+        time::{Duration, Instant},
+    },
+    tokio::runtime::Runtime,
+};
+
+/// Time that a request takes at an upstream.
+const SERVICE_TIME: Duration = Duration::from_millis(8);
+
+/// Requests that wait at an upstream.
+const UPSTREAM_QUEUE: usize = 16;
+
+/// Open flows that one upstream accepts.
+const CONNECTIONS: u32 = 2_000;
+
+/// Longest time from a request's arrival to its answer.
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// Time for the first answer after the start.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time for one try of a first answer.
+const TRY_LIMIT: Duration = Duration::from_millis(300);
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// A deployment to show.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Deployment {
+    /// Three zones; dispatch and manifests; 2 slots.
+    #[display("cascade")]
+    Cascade,
+    /// Four zones; siteline and swatchbook; 3 slots.
+    #[display("verfkant")]
+    Verfkant,
+}
+
+/// The sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+struct Sizes {
+    zones: &'static [&'static str],
+    services: [(&'static str, usize); 2],
+    slots: u32,
+    balancers: usize,
+}
+
+/// A running deployment.
+pub struct Site {
+    deployment: Deployment,
+    sizes: Sizes,
+    runtime: Runtime,
+    platform: Platform,
+    base: String,
+    fabric: Fabric,
+    balancers: Vec<(String, Handle)>,
+    started: usize,
+    pools: Vec<(wire::Pool, Vec<Upstream>)>,
+}
+
+impl FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Deployment, String> {
+        match text {
+            "cascade" => Ok(Deployment::Cascade),
+            "verfkant" => Ok(Deployment::Verfkant),
+            _ => Err(format!("`{text}` is neither cascade nor verfkant")),
+        }
+    }
+}
+
+impl Deployment {
+    fn sizes(self) -> Sizes {
+        match self {
+            Deployment::Cascade => Sizes {
+                zones: &["tacoma", "salem", "spokane"],
+                services: [("dispatch", 14), ("manifests", 4)],
+                slots: 2,
+                balancers: 9,
+            },
+            Deployment::Verfkant => Sizes {
+                zones: &["gp-a", "gp-b", "gp-c", "gp-d"],
+                services: [("siteline", 14), ("swatchbook", 4)],
+                slots: 3,
+                balancers: 8,
+            },
+        }
+    }
+}
+
+impl Site {
+    /// Starts a deployment and waits until it serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be had or no request is answered within 20 s.
+    pub fn start(deployment: Deployment, seed: u64) -> io::Result<Site> {
+        let sizes = deployment.sizes();
+        let runtime = Runtime::new()?;
+        let platform = Platform::default();
+        let address = runtime.block_on(platform.serve(ANY))?;
+        let fabric = Fabric::start(fabric::Settings {
+            services: vec![ANY; sizes.services.len()],
+            seed,
+            ..fabric::Settings::default()
+        })?;
+        let mut site = Site {
+            deployment,
+            sizes,
+            runtime,
+            platform,
+            base: format!("http://{address}"),
+            fabric,
+            balancers: Vec::new(),
+            started: 0,
+            pools: Vec::new(),
+        };
+        site.start_pools()?;
+        for _ in 0..sizes.balancers {
+            site.add_balancer()?;
+        }
+        site.wait()?;
+        Ok(site)
+    }
+
+    /// Returns the addresses of the services.
+    pub fn services(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.fabric.services().iter().copied()
+    }
+
+    /// Returns the upstreams of each service.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&str, &[Upstream])> {
+        let pools = self.pools.iter();
+        pools.map(|(pool, upstreams)| (&*pool.name, &**upstreams))
+    }
+
+    /// Starts one more balancer and returns its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket cannot be had.
+    pub fn add_balancer(&mut self) -> io::Result<String> {
+        let name = format!("entry-{}", self.started + 1);
+        let zone = self.sizes.zones[self.started % self.sizes.zones.len()];
+        self.started += 1;
+        let handle = Daemon::start(self.settings(&name, zone)).map_err(io::Error::other)?;
+        self.platform.set_vm(Record {
+            name: name.clone(),
+            address: handle.addresses().peer,
+            zone: zone.to_owned(),
+            role: Role::Entry,
+            state: State::Live,
+        });
+        self.balancers.push((name.clone(), handle));
+        self.update_fabric();
+        Ok(name)
+    }
+
+    /// Stops the oldest balancer as planned, waits for its end and returns its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no balancer.
+    pub fn drain_balancer(&mut self) -> io::Result<String> {
+        let (name, handle) = self.balancers.first().ok_or(io::ErrorKind::NotFound)?;
+        let name = name.clone();
+        handle.drain();
+        let (_, handle) = self.balancers.remove(0);
+        handle.join();
+        self.platform.remove_vm(&name);
+        self.update_fabric();
+        Ok(name)
+    }
+
+    /// Marks the first upstream of the first pool as leaving; returns the service's address and the upstream's name.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses the write.
+    pub fn drain_upstream(&mut self) -> io::Result<(SocketAddr, String)> {
+        let (pool, _) = &mut self.pools[0];
+        pool.generation += 1;
+        pool.upstreams[0].drain = true;
+        let name = pool.upstreams[0].name.clone();
+        let pool = pool.clone();
+        self.write(&format!("{}{}", wire::POOL_PREFIX, pool.name), &pool)?;
+        Ok((self.fabric.services()[0], name))
+    }
+
+    fn settings(&self, name: &str, zone: &str) -> Settings {
+        Settings {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            zones: self
+                .sizes
+                .zones
+                .iter()
+                .map(|&zone| zone.to_owned())
+                .collect(),
+            platform: self.base.clone(),
+            log: Log {
+                level: Level::Error,
+                ..Log::default()
+            },
+            ..Settings::default()
+        }
+    }
+
+    fn update_fabric(&self) {
+        let target = |(_, handle): &(String, Handle)| Target {
+            ingress: handle.addresses().ingress,
+            admin: Some(handle.addresses().admin),
+        };
+        self.fabric
+            .set_balancers(self.balancers.iter().map(target).collect());
+    }
+
+    fn start_pools(&mut self) -> io::Result<()> {
+        let addresses = self.fabric.services().to_vec();
+        for ((service, count), address) in self.sizes.services.into_iter().zip(addresses) {
+            let (pool, upstreams) = start_pool(service, count, &self.sizes)?;
+            let route = wire::Route {
+                name: service.to_owned(),
+                generation: 1,
+                address,
+                pool: service.to_owned(),
+                deadline: DEADLINE,
+                edit: None,
+            };
+            self.write(&format!("{}{service}", wire::POOL_PREFIX), &pool)?;
+            self.write(&format!("{}{service}", wire::ROUTE_PREFIX), &route)?;
+            self.pools.push((pool, upstreams));
+        }
+        Ok(())
+    }
+
+    fn write(&self, key: &str, value: &impl serde::Serialize) -> io::Result<()> {
+        let value = serde_json::to_value(value)?;
+        let store = Store::new(&self.base);
+        self.runtime.block_on(async {
+            let present = store.get(key).await.map_err(io::Error::other)?;
+            let version = present.map_or(0, |object| object.version);
+            store
+                .put(key, &value, version)
+                .await
+                .map_err(io::Error::other)?;
+            Ok(())
+        })
+    }
+
+    fn wait(&self) -> io::Result<()> {
+        let end = Instant::now() + START_LIMIT;
+        for service in self.services() {
+            while !is_served(service)? {
+                if Instant::now() > end {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Display for Site {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let Sizes {
+            zones,
+            services,
+            slots,
+            ..
+        } = self.sizes;
+        let balancers = self.balancers.len();
+        writeln!(
+            formatter,
+            "deployment {}: {balancers} balancers in {}",
+            self.deployment,
+            zones.join(", ")
+        )?;
+        for (service, count) in services {
+            writeln!(
+                formatter,
+                "  service {service}: {count} upstreams of {slots} slots"
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn start_pool(
+    service: &str,
+    count: usize,
+    sizes: &Sizes,
+) -> io::Result<(wire::Pool, Vec<Upstream>)> {
+    let mut rows = Vec::new();
+    let mut upstreams = Vec::new();
+    for index in 0..count {
+        let name = format!("{service}-{}", index + 1);
+        let upstream = Upstream::start(upstream::Settings {
+            name: name.clone(),
+            service: service.to_owned(),
+            slots: sizes.slots as usize,
+            queue: UPSTREAM_QUEUE,
+            behaviour: Behaviour {
+                service_time: SERVICE_TIME,
+                ..Behaviour::default()
+            },
+            ..upstream::Settings::default()
+        })?;
+        rows.push(wire::Upstream {
+            name,
+            address: upstream.address(),
+            zone: sizes.zones[index % sizes.zones.len()].to_owned(),
+            weight: 1,
+            drain: false,
+        });
+        upstreams.push(upstream);
+    }
+    let pool = wire::Pool {
+        name: service.to_owned(),
+        generation: 1,
+        slots: sizes.slots,
+        connections: CONNECTIONS,
+        upstreams: rows,
+        edit: None,
+    };
+    Ok((pool, upstreams))
+}
+
+fn is_served(service: SocketAddr) -> io::Result<bool> {
+    let mut caller = Caller::new(service)?;
+    Ok(caller.request(RequestType::Get, "ready", TRY_LIMIT).is_ok())
+}
