--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod members;
 pub mod node;
 pub mod owner;
+pub mod path;
 pub mod placement;
 pub mod pool;
 pub mod queue;
@@ -40,6 +41,7 @@
 pub mod spread;
 pub mod swim;
 mod transfer;
+pub mod upstream;
 pub mod vm;
 pub mod zone;
 
