--- a/crates/skylarkflow/src/notes.rs
+++ b/crates/skylarkflow/src/notes.rs
@@ -146,9 +146,7 @@
 
 fn dropped(context: &Context, key: Key, reason: Drop) {
     let (counter, event) = match reason {
-        Drop::UnknownService | Drop::UnknownUpstream => {
-            (Counter::UnknownService, &event::UNKNOWN_SERVICE)
-        }
+        Drop::UnknownService => (Counter::UnknownService, &event::UNKNOWN_SERVICE),
         Drop::NotOwner => (Counter::NotOwner, &event::NOT_OWNER),
         Drop::UnknownUpstream => (Counter::UnknownUpstream, &event::UNKNOWN_UPSTREAM),
         Drop::Full => (Counter::TableFull, &event::TABLE_FULL),
--- a/crates/skylarkflow/tests/support/mod.rs
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -105,7 +105,9 @@
         for index in 0..balancers {
             let path = directory.path().join(format!("entry-{index}.yaml"));
             let zone = ["tacoma", "salem"][index % 2];
-            let text = format!("name: entry-{index}\nzone: {zone}\nplatform: {base}\nlog: {{level: warn}}\n");
+            let text = format!(
+                "name: entry-{index}\nzone: {zone}\nplatform: {base}\nlog: {{level: warn}}\n"
+            );
             fs::write(&path, text).expect("the settings are written");
             let path = path.to_str().expect("a path in UTF-8");
             let balancer = Process::start(&["run", "--settings", path]);
