Keep a balancer that starts out of the owner tables until it holds the fence

Cause: a balancer that joined owned flows at once, but answered their non-idempotent requests with 'outcome unknown' until it was heard by a majority of its zone: 687 of 8,364 requests in the demo, all with the reason 'this balancer does not hear from a majority of its zone'. Change: members start in the state 'joining', probe and are probed, and own flows from the moment they hold the fence, at the latest after 10 s. Ruled out: a claim that waits for the fence, because it delays every request of the flows that move; quarantine and deadline as the reason, by the log.

--- a/crates/policy/src/member.rs
+++ b/crates/policy/src/member.rs
@@ -20,6 +20,9 @@
 /// What a member is known to do.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum State {
+    /// Has started and is not yet heard by a majority of its zone, so it would have to refuse requests of its flows.
+    #[serde(rename = "j")]
+    Joining,
     /// Owns flows.
     #[serde(rename = "a")]
     Alive,
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -54,7 +54,7 @@
         let own = Update {
             id: me.id,
             incarnation: me.incarnation,
-            state: State::Alive,
+            state: State::Joining,
             place: Some(me.place.clone()),
         };
         roster.insert(Duration::ZERO, own);
@@ -137,8 +137,8 @@
                 place: None,
             };
             member.incarnation = incarnation;
-            // A leaving member keeps its state, so that it does not get flows again.
-            if member.state != State::Leaving {
+            // A joining or leaving member keeps its state, so that it does not get flows.
+            if !matches!(member.state, State::Joining | State::Leaving) {
                 member.state = State::Suspect;
             }
             self.announce(update);
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -142,7 +142,8 @@
         mut updates: Vec<Update>,
         actions: &mut Vec<Action>,
     ) {
-        updates.retain(|update| update.id != from || update.state != State::Alive);
+        let is_own = |update: &Update| update.id == from;
+        updates.retain(|update| !is_own(update) || update.state > State::Alive);
         if updates.is_empty() {
             return;
         }
--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -25,6 +25,10 @@
 /// Time without a base after which the VM list may form one.
 const FORM_AFTER: Duration = Duration::from_secs(3);
 
+/// Time after the start from which on a balancer owns flows without a majority, so that a zone that lost most of its
+/// members serves idempotent requests.
+const JOIN_LIMIT: Duration = Duration::from_secs(10);
+
 /// Shortest time between two acknowledgements that carry the voters.
 const VOTERS_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -160,6 +164,7 @@
             actions.push(Action::Changed);
         }
         self.update_base(now);
+        self.activate(now, actions);
         self.run_timers(now, actions);
     }
 
@@ -404,7 +409,7 @@
         let mut live = Vec::new();
         for member in self.roster.iter().filter(in_zone) {
             match member.state {
-                State::Alive | State::Suspect => live.push(member.id),
+                State::Joining | State::Alive | State::Suspect => live.push(member.id),
                 State::Left => gone.push(member.id),
                 State::Dead if self.is_unlisted(member.id) => gone.push(member.id),
                 State::Leaving | State::Dead => {}
@@ -425,6 +430,15 @@
         }
     }
 
+    /// Lets this balancer own flows once it holds the fence, since it would refuse their requests before.
+    fn activate(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let started = self.timers.started.unwrap_or(now);
+        let is_late = now >= started + JOIN_LIMIT;
+        if self.me().state == State::Joining && (is_late || self.base.holds(now)) {
+            self.announce(now, State::Alive, actions);
+        }
+    }
+
     /// Returns whether the VM list once named a VM and no longer does, while it names this balancer.
     pub fn is_unlisted(&self, id: VmId) -> bool {
         let names = |id: VmId| self.listed.iter().any(|vm| vm.id() == id);
--- a/crates/skylarkflow/src/control.rs
+++ b/crates/skylarkflow/src/control.rs
@@ -225,6 +225,7 @@
             name: name.unwrap_or_else(|| format!("{:016x}", member.id)),
             member: owner(member),
             state: match member.state {
+                State::Joining => "joining",
                 State::Alive => "alive",
                 State::Suspect => "suspect",
                 State::Leaving => "leaving",
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -16,6 +16,7 @@
     },
     crossbeam::channel::{self, Receiver},
     derive_more::{Display, Error, From},
+    skylarkflow_operator::wire::Phase,
     skylarkflow_policy::{
         balancer::{self, Core},
         dispatch::Factory,
@@ -103,6 +104,11 @@
         &self.context
     }
 
+    /// Returns whether the balancer takes flows.
+    pub fn is_ready(&self) -> bool {
+        self.context.drain().phase == Phase::Serving
+    }
+
     /// Starts a planned stop: the balancer hands its flows over, finishes the requests in flight and ends.
     pub fn drain(&self) {
         self.context.start_drain();
--- a/crates/skylarkflow/src/demo.rs
+++ b/crates/skylarkflow/src/demo.rs
@@ -5,6 +5,8 @@
         command::Result,
         demo_report::{Findings, Service},
         demo_site::{self, Site},
+        logs,
+        settings::Log,
     },
     argh::FromArgs,
     coap_lite::RequestType,
@@ -16,6 +18,7 @@
         collections::BTreeMap,
         io,
         net::SocketAddr,
+        path::{Path, PathBuf},
         thread,
         time::{Duration, Instant},
     },
@@ -57,6 +60,9 @@
     /// seed of arrivals and of the fabric
     #[argh(option, default = "1")]
     seed: u64,
+    /// file that the log lines of all balancers are appended to
+    #[argh(option)]
+    log: Option<PathBuf>,
 }
 
 impl Demo {
@@ -66,6 +72,16 @@
     ///
     /// Fails if a promise was broken or a socket cannot be had.
     pub fn run(self) -> Result {
+        let writer = self.log.as_ref().map(|path| logs::start(&log(path)));
+        let writer = writer.transpose()?;
+        let result = self.show();
+        if let Some(writer) = writer {
+            writer.close();
+        }
+        result
+    }
+
+    fn show(&self) -> Result {
         let mut site = Site::start(self.deployment, self.seed)?;
         println!("{site}");
         let loads = site.services().map(|address| self.load(address));
@@ -105,8 +121,16 @@
     }
 }
 
+fn log(path: &Path) -> Log {
+    Log {
+        file: Some(path.to_owned()),
+        ..Log::default()
+    }
+}
+
 fn replace_balancer(site: &mut Site) -> io::Result<Duration> {
     let joined = site.add_balancer()?;
+    site.admit_balancers()?;
     println!("balancer {joined} has joined");
     let start = Instant::now();
     let left = site.drain_balancer()?;
--- a/crates/skylarkflow/src/demo_site.rs
+++ b/crates/skylarkflow/src/demo_site.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         daemon::{Daemon, Handle},
-        settings::{Level, Log, Settings},
+        settings::Settings,
     },
     coap_lite::RequestType,
     derive_more::Display,
@@ -20,6 +20,7 @@
         io,
         net::{Ipv4Addr, SocketAddr},
         str::FromStr,
+        thread,
         time::{Duration, Instant},
     },
     tokio::runtime::Runtime,
@@ -40,6 +41,9 @@
 /// Time for the first answer after the start.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time between two looks at a balancer's readiness.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for one try of a first answer.
 const TRY_LIMIT: Duration = Duration::from_millis(300);
 
@@ -140,6 +144,7 @@
         for _ in 0..sizes.balancers {
             site.add_balancer()?;
         }
+        site.admit_balancers()?;
         site.wait()?;
         Ok(site)
     }
@@ -173,10 +178,28 @@
             state: State::Live,
         });
         self.balancers.push((name.clone(), handle));
-        self.update_fabric();
         Ok(name)
     }
 
+    /// Waits until every balancer is ready and lets the fabric send to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails after 20 s.
+    pub fn admit_balancers(&self) -> io::Result<()> {
+        let end = Instant::now() + START_LIMIT;
+        for (_, handle) in &self.balancers {
+            while !handle.is_ready() {
+                if Instant::now() > end {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+                thread::sleep(POLL_INTERVAL);
+            }
+        }
+        self.update_fabric();
+        Ok(())
+    }
+
     /// Stops the oldest balancer as planned, waits for its end and returns its name.
     ///
     /// # Errors
@@ -219,10 +242,6 @@
                 .map(|&zone| zone.to_owned())
                 .collect(),
             platform: self.base.clone(),
-            log: Log {
-                level: Level::Error,
-                ..Log::default()
-            },
             ..Settings::default()
         }
     }
