--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -41,12 +41,16 @@
     pub retry: retry::Settings,
     /// Most requests of one kind that wait for one upstream.
     pub queue: usize,
-    /// Longest wait that is accepted, as a share of the time to the deadline. The estimate varies with the service
-    /// times, so the rest is kept as a reserve.
-    pub patience: f64,
+    /// Longest wait of short and of long requests that is accepted, as a share of the time to the deadline.
+    ///
+    /// A longer queue of short requests adds latency but no goodput. The service times vary, so part of the time is
+    /// kept as a reserve.
+    pub patience: [f64; 2],
     /// Age of a short request in flight, as a multiple of the latency without load, from which on its upstream seems
     /// occupied by long requests and gets no further request.
     pub blocked: f64,
+    /// Latency up to which a short request was answered quickly, as a multiple of the latency without load.
+    pub quick: f64,
     /// Longest time that a long request waits for a short one to be answered quickly, as a multiple of the latency of
     /// long requests without load. Such an answer shows that long requests do not hold all slots.
     pub hold: f64,
@@ -113,9 +117,10 @@
             placement: placement::Settings::default(),
             retry: retry::Settings::default(),
             queue: 64,
-            patience: 0.5,
+            patience: [0.35, 0.5],
             blocked: 4.0,
-            hold: 3.0,
+            quick: 1.0,
+            hold: 5.0,
             seed: 0,
         }
     }
@@ -304,13 +309,20 @@
         let lane = upstream.lane(kind);
         let wait = lane.wait(now, job);
         let left = job.deadline.saturating_sub(now).as_secs_f64();
-        let is_late = wait > left * self.settings.patience;
+        let is_late = wait > left * self.settings.patience[kind.index()];
         if lane.waiting() >= self.settings.queue || is_late || !self.can_serve(job.upstream) {
             return Err(max_age(wait));
         }
         Ok(())
     }
 
+    fn yield_slots(&mut self, now: Duration, id: UpstreamId) {
+        let usual = Duration::from_secs_f64(self.classes.no_load(Kind::Short).unwrap_or(0.0));
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.lane_mut(Kind::Long).limit.yield_slots(now, usual);
+        }
+    }
+
     /// Sends what the limits of an upstream allow and refuses what can no longer be answered in time.
     fn advance(&mut self, now: Duration, id: UpstreamId, verdicts: &mut Vec<Verdict>) {
         self.refuse_late(now, id, verdicts);
@@ -345,12 +357,13 @@
         let Some(short) = self.classes.no_load(Kind::Short) else {
             return true;
         };
-        let quick = Duration::from_secs_f64(short * self.settings.blocked);
+        let stuck = Duration::from_secs_f64(short * self.settings.blocked);
+        let quick = Duration::from_secs_f64(short * self.settings.quick);
         let long = self.classes.no_load(Kind::Long).unwrap_or(0.0);
         let hold = Duration::from_secs_f64(long * self.settings.hold);
         let upstream = self.upstreams.get(&id);
         upstream.is_some_and(|upstream| match kind {
-            Kind::Short => !upstream.is_blocked(now, quick),
+            Kind::Short => !upstream.is_blocked(now, stuck),
             Kind::Long => upstream.takes_long(now, quick, hold),
         })
     }
@@ -411,7 +424,7 @@
         upstream.lane_mut(kind).observe(seconds);
         if kind == Kind::Short {
             let usual = Duration::from_secs_f64(usual);
-            upstream.sense(now, latency, usual, self.settings.blocked);
+            upstream.sense(now, latency, usual, self.settings.quick);
         }
     }
 
@@ -472,6 +485,9 @@
     fn submit(&mut self, now: Duration, job: Job, verdicts: &mut Vec<Verdict>) {
         let kind = self.classes.kind(job.class);
         if let Err(max_age) = self.is_accepted(now, &job, kind) {
+            if kind == Kind::Short {
+                self.yield_slots(now, job.upstream);
+            }
             verdicts.push(Verdict::Refuse {
                 id: job.id,
                 max_age,
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -4,13 +4,19 @@
 
 use {
     datadriven::TestCase,
-    model::{Fault, Place, Setup, mean},
+    model::{Fault, Place, START, Setup, mean},
     skylarkflow_policy::{
+        dispatch::{Dispatcher, Job, JobResult},
+        exchange::Effect,
         health,
         path::{Change, Monitor, Settings},
-        pool, retry,
+        pool::{self, Signal},
+        retry,
+    },
+    std::{
+        thread,
+        time::{Duration, Instant},
     },
-    std::{thread, time::Duration},
 };
 
 /// Statistical noise of one run, as a share of capacity; a fall within it is not told from none.
@@ -23,252 +29,278 @@
     };
     Setup {
         balancers: number("balancers", 9.0) as usize,
-        upstreams: number("upstreams", 14.0) as usize,
+        upstreams: 14,
         slots: number("slots", 2.0) as u32,
         flows: number("flows", 2_000.0) as usize,
-        load: (0.5, number("load", 0.5)),
+        load: number("load", 0.5),
         long_share: number("long", 0.03),
         churn: number("churn", 0.0),
-        times: (20.0, 25.0, number("seconds", 85.0)),
-        place: Place::Policy,
+        seconds: number("seconds", 85.0) as u64,
+        place: None,
         settings: Some(pool::Settings::default()),
         faults: Vec::new(),
-        seed: number("seed", 1.0) as u64,
-    }
-}
-
-/// Guards against a goodput that collapses under overload.
-fn goodput(setup: &Setup) -> String {
-    let mut highest = 0.0_f64;
-    let mut falls = 0;
-    let loads = [0.5, 0.7, 1.0, 1.5, 2.0, 3.0];
-    let measure = |load| {
-        let offered = Setup {
-            load: (0.5, load),
-            ..setup.clone()
-        };
-        let policy = share(&offered);
-        let baseline = share(&Setup {
-            settings: None,
-            ..offered
-        });
-        (load, policy, baseline)
-    };
-    let rows: Vec<_> = thread::scope(|scope| {
-        let threads = loads.map(|load| scope.spawn(move || measure(load)));
-        threads
-            .into_iter()
-            .map(|thread| thread.join().unwrap())
-            .collect()
-    });
-    for (load, policy, baseline) in rows {
-        println!("  load {load}: {policy}");
-        println!("    baseline: {baseline}");
-        falls += usize::from(policy.requests < highest - NOISE);
-        highest = highest.max(policy.requests);
     }
-    format!("falls: {falls}\n")
 }
 
-struct Share {
-    requests: f64,
-    work: f64,
-    long: f64,
-    p99: [f64; 2],
-    stats: String,
+fn with(setup: &Setup, change: impl FnOnce(&mut Setup, &mut pool::Settings)) -> Setup {
+    let mut changed = setup.clone();
+    let mut settings = pool::Settings::default();
+    change(&mut changed, &mut settings);
+    changed.settings = Some(settings);
+    changed
 }
 
-impl std::fmt::Display for Share {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "requests {:.3} work {:.3} long {:.3} of capacity, p99 short {:.3} s long {:.3} s {}",
-            self.requests, self.work, self.long, self.p99[0], self.p99[1], self.stats
-        )
+fn baseline(setup: &Setup) -> Setup {
+    Setup {
+        settings: None,
+        ..setup.clone()
     }
 }
 
-fn share(setup: &Setup) -> Share {
+/// Returns the goodput and the p99 of short requests, and a line with more figures.
+fn measure(setup: &Setup) -> (f64, f64, String) {
     let stats = setup.run();
-    let seconds = setup.times.2 - setup.times.1;
+    let seconds = setup.seconds as f64 - START.as_secs_f64();
     let capacity = setup.capacity() * seconds;
-    let slots = f64::from(setup.slots) * setup.upstreams as f64;
-    Share {
-        requests: (stats.good[0] + stats.good[1]) as f64 / capacity,
-        work: stats.good_work / (slots * seconds),
-        long: stats.good[1] as f64 / (capacity * setup.long_share),
-        p99: [stats.p99(false), stats.p99(true)],
-        stats: format!(
-            "offered {} dispatched {} early {} lost {} refused {}",
-            stats.offered, stats.dispatches, stats.early, stats.lost, stats.refused
-        ),
-    }
+    let requests = (stats.good[0] + stats.good[1]) as f64 / capacity;
+    let work = stats.good_work / (f64::from(setup.slots) * setup.upstreams as f64 * seconds);
+    let long = stats.good[1] as f64 / (capacity * setup.long_share.max(f64::MIN_POSITIVE));
+    let (short_p99, long_p99) = (stats.p99(false), stats.p99(true));
+    let (offered, sent) = (stats.offered, stats.dispatches);
+    let line = format!(
+        "goodput/capacity {requests:.3} work {work:.3} long {long:.3}, p99 short {short_p99:.3} s long {long_p99:.3} s, \
+         offered {offered} sent {sent} early {} refused {}",
+        stats.early, stats.refused
+    );
+    (requests, short_p99, line)
 }
 
-fn imbalance(setup: &Setup) -> String {
-    for place in [
-        Place::Policy,
-        Place::Random,
-        Place::RoundRobin,
-        Place::PlainHash,
-    ] {
-        let stats = Setup {
-            place,
-            ..setup.clone()
-        }
-        .run();
+/// Guards against a goodput that collapses under overload.
+fn goodput(setup: &Setup) -> String {
+    let row = |load| {
+        let offered = with(setup, |setup, _| setup.load = load);
+        let unlimited = with(&offered, |_, settings| {
+            settings.queue = usize::MAX;
+            settings.patience = [f64::INFINITY; 2];
+        });
+        (
+            load,
+            measure(&offered),
+            [measure(&unlimited), measure(&baseline(&offered))],
+        )
+    };
+    let rows = thread::scope(|scope| {
+        let loads = [0.5, 0.7, 1.0, 1.5, 2.0, 3.0];
+        loads
+            .map(|load| scope.spawn(move || row(load)))
+            .map(|thread| thread.join().unwrap())
+    });
+    let mut highest = 0.0_f64;
+    let mut falls = 0;
+    for (load, (goodput, _, policy), [(_, _, unlimited), (_, _, fifo)]) in rows {
         println!(
-            "  {place:?}: work {:.3} flows {:.3} (goal 1.10)",
-            mean(&stats.work_imbalance),
-            mean(&stats.flow_imbalance)
+            "  load {load}: {policy}\n    no early refusal: {unlimited}\n    baseline: {fifo}"
         );
+        falls += usize::from(goodput < highest - NOISE);
+        highest = highest.max(goodput);
+    }
+    format!("falls: {falls}\n")
+}
+
+/// Shows how evenly flows and work are spread.
+fn imbalance(setup: &Setup) -> String {
+    let places: [(&str, Option<Place>); 4] = [
+        ("policy", None),
+        ("random", Some(|random, _, _, count| random % count)),
+        ("round robin", Some(|_, turn, _, count| turn % count)),
+        ("plain hash", Some(|_, _, hash, count| hash % count)),
+    ];
+    for (name, place) in places {
+        let stats = with(setup, |setup, _| setup.place = place).run();
+        let (work, flows) = (mean(&stats.work_imbalance), mean(&stats.flow_imbalance));
+        println!("  {name}: work {work:.3} flows {flows:.3} (goal 1.10)");
     }
     String::new()
 }
 
+/// Shows how much short requests wait for long ones, and that long ones are served.
 fn mixed(setup: &Setup) -> String {
-    let alone = Setup {
-        long_share: 0.0,
-        ..setup.clone()
-    };
-    let baseline = |setup: &Setup| Setup {
-        settings: None,
-        ..setup.clone()
-    };
-    let ratio = |mixed: &Share, alone: &Share| mixed.p99[0] / alone.p99[0];
-    let policy = share(setup);
-    let fifo = share(&baseline(setup));
-    println!("  policy {:.2}: {policy}", ratio(&policy, &share(&alone)));
-    println!(
-        "  fifo {:.2}: {fifo}",
-        ratio(&fifo, &share(&baseline(&alone)))
-    );
+    for (name, mixed) in [("policy", setup.clone()), ("baseline", baseline(setup))] {
+        let (_, with_long, line) = measure(&mixed);
+        let alone = Setup {
+            long_share: 0.0,
+            ..mixed
+        };
+        println!(
+            "  {name}: p99 ratio {:.2}; {line}",
+            with_long / measure(&alone).1
+        );
+    }
     String::new()
 }
 
 /// Guards against retries that multiply the load when most upstreams refuse everything.
 fn retries(setup: &Setup) -> String {
-    let unlimited = retry::Settings {
-        ratio: 100.0,
-        burst: 1e9,
-        ..retry::Settings::default()
-    };
-    let ratio = |name: &str, settings| {
-        let stats = Setup {
-            settings,
-            faults: (0..setup.upstreams - 2)
-                .map(|server| (setup.times.1, Fault::Shed(server)))
-                .collect(),
-            ..setup.clone()
-        }
-        .run();
+    let failing = with(setup, |setup, _| {
+        setup.faults = (2..14).map(|server| (25, server, Fault::Shed)).collect();
+    });
+    let unlimited = with(&failing, |_, settings| {
+        settings.retry = retry::Settings {
+            ratio: 100.0,
+            burst: 1e9,
+            ..retry::Settings::default()
+        };
+    });
+    let ratio = |name: &str, setup: &Setup| {
+        let stats = setup.run();
         let ratio = stats.dispatches as f64 / stats.offered as f64;
         println!("  {name}: {ratio:.3} dispatches per request");
         ratio
     };
-    let policy = ratio("policy", setup.settings);
-    ratio("unlimited", with(|settings| settings.retry = unlimited));
-    ratio("fifo", None);
-    format!("at most 1.1: {}\n", policy <= 1.1)
-}
-
-fn with(change: impl Fn(&mut pool::Settings)) -> Option<pool::Settings> {
-    let mut settings = pool::Settings::default();
-    change(&mut settings);
-    Some(settings)
+    ratio("policy without budget", &unlimited);
+    ratio("baseline", &baseline(&failing));
+    format!("at most 1.1: {}\n", ratio("policy", &failing) <= 1.1)
 }
 
 /// Guards against health and load reports that take working upstreams away or overload them.
 fn lies(setup: &Setup) -> String {
+    let run = |name: &str, signal: fn(Duration) -> Signal, health| {
+        let told = with(setup, |setup, settings| {
+            settings.health = health;
+            let all = (20..setup.seconds).flat_map(|at| (0..14).map(move |server| (at, server)));
+            let tell = |at| Fault::Tell(signal(Duration::from_secs(at)));
+            setup.faults = all.map(|(at, server)| (at, server, tell(at))).collect();
+        });
+        let (goodput, _, line) = measure(&told);
+        println!("  {name}: {line}");
+        goodput
+    };
+    let down = |observed| Signal::Health {
+        is_up: false,
+        observed,
+    };
+    let idle = |observed| Signal::Load {
+        waiting: 0,
+        observed,
+    };
     let trusting = health::Settings {
         answer_age: Duration::ZERO,
         open_above: 1.0,
         ..health::Settings::default()
     };
-    let run = |name: &str, lie: Option<Fault>, settings| {
-        let share = share(&Setup {
-            settings,
-            faults: lie.map(|lie| (20.0, lie)).into_iter().collect(),
-            ..setup.clone()
-        });
-        println!("  {name}: {share}");
-        share.requests
-    };
-    let honest = run("no reports", None, setup.settings);
-    let down = run("all down", Some(Fault::AllDown), setup.settings);
-    let idle = run("all idle", Some(Fault::AllIdle), setup.settings);
-    run(
-        "all down, reports trusted",
-        Some(Fault::AllDown),
-        with(|settings| settings.health = trusting),
-    );
-    let kept = |value: f64| value >= honest - NOISE;
+    let (honest, _, line) = measure(setup);
+    println!("  no reports: {line}");
+    run("all down, reports trusted", down, trusting);
+    let kept = |goodput: f64| goodput >= honest - NOISE;
+    let down = run("all down", down, health::Settings::default());
+    let idle = run("all idle", idle, health::Settings::default());
     format!("kept: {} {}\n", kept(down), kept(idle))
 }
 
 /// Guards against new flows on an upstream that leaves.
 fn drain(setup: &Setup) -> String {
-    let opens = |is_told| {
-        let stats = Setup {
-            faults: vec![(30.0, Fault::Drain(0, is_told))],
-            ..setup.clone()
-        }
-        .run();
-        println!(
-            "  told {is_told}: {} within 3 s, {} after",
-            stats.early_opens, stats.late_opens
-        );
-        stats.late_opens
+    let late = |faults: &[Fault]| {
+        let faults = faults.iter().map(|&fault| (30, 0, fault));
+        with(setup, |setup, _| setup.faults = faults.collect())
+            .run()
+            .late_opens
     };
-    opens(false);
-    format!("after 3 s: {}\n", opens(true))
+    println!("  nobody told: {} flows after 3 s", late(&[Fault::Drain]));
+    format!(
+        "after 3 s: {}\n",
+        late(&[Fault::Drain, Fault::Tell(Signal::Drain(true))])
+    )
 }
 
-/// Shows what a slow start spares the requests that reach a cold upstream.
+/// Guards against a cold upstream that gets its full share at once.
 fn cold(setup: &Setup) -> String {
-    for seconds in [0.001, 10.0] {
-        let share = share(&Setup {
-            faults: vec![(25.0, Fault::Silent(0)), (45.0, Fault::Restart(0, 20.0))],
-            settings: with(|settings| {
-                settings.admission.slow_start = Duration::from_secs_f64(seconds);
-            }),
-            ..setup.clone()
-        });
-        println!("  slow start {seconds} s: {share}");
-    }
-    String::new()
+    let failures = |seconds| {
+        let stats = with(setup, |setup, settings| {
+            setup.faults = vec![(25, 0, Fault::Silent), (45, 0, Fault::Restart(20.0))];
+            settings.admission.slow_start = Duration::from_secs_f64(seconds);
+        })
+        .run();
+        let failures = stats.offered - stats.good[0] - stats.good[1];
+        println!(
+            "  slow start {seconds} s: {failures} of {} failed",
+            stats.offered
+        );
+        failures
+    };
+    format!("fewer failures: {}\n", failures(0.001) > failures(10.0))
 }
 
-/// Guards against a path that stays silent, and against a request that is sent again on the new path.
-fn path(lanes: u8) -> String {
-    let settings = Settings {
+/// Guards against a path that stays silent.
+fn path(case: &TestCase) -> String {
+    let lanes = case.args["lanes"][0].parse().unwrap();
+    let mut monitor = Monitor::new(Settings {
         lanes,
         ..Settings::default()
-    };
-    let mut monitor = Monitor::new(settings);
+    });
     let mut changes = Vec::new();
     let fault = Duration::from_secs(10);
     let silent = monitor.path(0, 1);
-    let mut lost = 0;
     for step in 0..2_000_u64 {
         let now = Duration::from_millis(10 * step);
         let path = monitor.sent(now, step, step % 16, 1);
         if path != silent || now < fault {
             monitor.answered(now + Duration::from_millis(5), step);
-        } else {
-            lost += 1;
         }
         monitor.tick(now, &mut changes);
         if let Some(Change::Socket { from, to }) = changes.first() {
             assert_eq!((*from, from.lane), (silent, to.lane));
             assert_ne!(from, to);
-            let seconds = (now - fault).as_secs_f64();
-            println!("  replaced after {seconds:.2} s, {lost} requests lost");
-            let bound = if lanes > 1 { 3.0 } else { 6.0 };
-            return format!("within {bound} s: {}\n", seconds <= bound);
+            return format!("replaced after {:?}\n", now - fault);
         }
     }
-    "never\n".to_owned()
+    "never replaced\n".to_owned()
+}
+
+/// Shows that the cost of a decision does not grow with the pool.
+fn cost() -> String {
+    const FLOWS: u64 = 20_000;
+    for upstreams in [10, 100, 1_000, 10_000] {
+        let pool = model::resolve(upstreams, 2);
+        let mut dispatcher = pool::Dispatcher::new(pool::Settings::default(), &pool, 9);
+        let start = Instant::now();
+        for flow in 0..FLOWS {
+            let now = Duration::from_micros(100 * flow);
+            let placement = dispatcher.place(now, flow.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            let upstream = placement.unwrap().upstream;
+            dispatcher.flow_opened(upstream);
+        }
+        let each = start.elapsed() / FLOWS as u32;
+        println!("  {upstreams} upstreams: {each:?} for a new flow");
+    }
+    String::new()
+}
+
+/// Guards against a second run: a request without an answer may have run, so only an idempotent one is retried.
+#[test]
+fn unknown_outcome_is_not_retried() {
+    let settings = pool::Settings::default();
+    let mut dispatcher = pool::Dispatcher::new(settings, &model::resolve(1, 3), 1);
+    let mut verdicts = Vec::new();
+    let mut retry = |id, effect, result| {
+        let job = Job {
+            id,
+            flow: id,
+            upstream: model::id(0),
+            class: 0,
+            established: true,
+            arrived: Duration::ZERO,
+            deadline: Duration::from_secs(10),
+            effect,
+        };
+        dispatcher.submit(Duration::ZERO, job, &mut verdicts);
+        dispatcher.finished(Duration::from_millis(1), id, result, &mut verdicts);
+        dispatcher.retry(Duration::from_millis(1), id).is_some()
+    };
+    // These fill the retry budget.
+    (0..100).for_each(|id| assert!(!retry(id, Effect::NonIdempotent, JobResult::Answered)));
+    assert!(!retry(100, Effect::NonIdempotent, JobResult::TimedOut));
+    assert!(retry(101, Effect::NonIdempotent, JobResult::Refused));
+    assert!(retry(102, Effect::Idempotent, JobResult::TimedOut));
 }
 
 #[test]
@@ -285,7 +317,8 @@
                 "lies" => lies(&setup),
                 "drain" => drain(&setup),
                 "cold" => cold(&setup),
-                "path" => path(case.args["lanes"][0].parse().unwrap()),
+                "path" => path(case),
+                "cost" => cost(),
                 directive => panic!("unknown directive {directive}"),
             }
         });
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -4,10 +4,12 @@
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
 mod admin;
+mod adoption;
 mod apply;
 mod base;
 pub mod bench;
 mod bench_tables;
+mod caller;
 mod check;
 pub mod clock;
 pub mod command;
@@ -20,7 +22,6 @@
 mod drain;
 pub mod emulate;
 pub mod event;
-mod follower;
 mod ingress;
 pub mod journal;
 mod listener;
@@ -31,6 +32,7 @@
 mod peers;
 pub mod perform;
 mod receiver;
+mod reports;
 mod run;
 pub mod settings;
 pub mod sockets;
