--- a/crates/policy/tests/scenario.rs
+++ b/crates/policy/tests/scenario.rs
@@ -186,7 +186,7 @@
 
 #[test]
 fn scenarios() {
-    walk("tests/scenarios", |file| {
+    walk("tests/scenarios/requests", |file| {
         let name = file.filename.clone();
         let mut started = Arguments::new();
         file.run(|case| match case.directive.as_str() {
--- a/crates/skylarkflow/src/bench.rs
+++ b/crates/skylarkflow/src/bench.rs
@@ -1,90 +1,106 @@
-//! The `bench` command: measures the parts whose cost the design page bounds.
+//! Measurements of the product by itself.
 
 use {
-    crate::{bench_datagrams, bench_decisions, bench_steps, command::Result},
+    crate::{
+        bench_datagrams, bench_decisions, bench_steps, bench_tables,
+        command::Result,
+        figure::{self, Figure},
+        measure::Report,
+    },
     argh::FromArgs,
-    serde::Serialize,
-    std::{fs, path::PathBuf, time::Duration},
+    std::{io, path::PathBuf, time::Duration},
 };
 
-/// Measure datagrams a second against a bare relay, the cost of decisions and the memory of a flow.
+/// Measure costs and their growth, and print a table.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "bench")]
+#[argh(
+    subcommand,
+    name = "bench",
+    example = "Measure lookup tables and keep the result as JSON:\n$ skylarkflow bench --json tables.json tables"
+)]
 pub struct Bench {
-    /// file that gets the figures as JSON
-    #[argh(option, default = "PathBuf::from(\"bench.json\")")]
-    json: PathBuf,
-    /// seconds of one measurement of datagrams
+    /// path of a file that gets all measurements as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+    #[argh(subcommand)]
+    subject: Subject,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Subject {
+    Datagrams(Datagrams),
+    Decisions(Decisions),
+    Steps(Steps),
+    Tables(Tables),
+}
+
+/// Measure datagrams a second through ingress and owner against a bare relay with as many threads.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "datagrams")]
+struct Datagrams {
+    /// seconds of one measurement
     #[argh(option, default = "3")]
     seconds: u64,
-    /// pairs of measurements of datagrams
+    /// pairs of measurements
     #[argh(option, default = "3")]
     rounds: usize,
     /// threads that read each socket
     #[argh(option, default = "2")]
     workers: usize,
-    /// only the parts whose name contains this text
-    #[argh(option, default = "String::new()")]
-    only: String,
 }
 
-/// A figure.
-#[derive(Clone, Debug, Serialize)]
-pub struct Figure {
-    /// What was measured.
-    pub name: &'static str,
-    /// Sizes under which it was measured.
-    pub case: String,
-    /// The figure.
-    pub value: f64,
-    /// Unit of the figure.
-    pub unit: &'static str,
-    /// Bound or goal of the design page.
-    pub goal: Option<&'static str>,
-}
+/// Measure the cost of an owner lookup and of a placement, and the memory of a flow entry.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "decisions")]
+struct Decisions {}
+
+/// Measure the steps that a request takes through a balancer, without sockets.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "steps")]
+struct Steps {}
+
+/// Measure lookup tables and the tables in force against their size.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "tables")]
+struct Tables {}
 
 impl Bench {
-    /// Runs the measurements, prints a table and writes JSON.
+    /// Runs the measurements.
     ///
     /// # Errors
     ///
     /// Fails if a balancer cannot start or the file cannot be written.
     pub fn run(self) -> Result {
-        let mut figures = Vec::new();
-        if "decisions".contains(&self.only) {
-            figures.extend(bench_decisions::measure());
+        let figures = match self.subject {
+            Subject::Datagrams(datagrams) => datagrams.measure()?,
+            Subject::Decisions(Decisions {}) => bench_decisions::measure(),
+            Subject::Steps(Steps {}) => bench_steps::measure(),
+            Subject::Tables(Tables {}) => return self.run_tables(),
+        };
+        figure::print(&figures);
+        match &self.json {
+            Some(path) => figure::save(&figures, path),
+            None => Ok(()),
         }
-        if "steps".contains(&self.only) {
-            figures.extend(bench_steps::measure());
-        }
-        if "datagrams".contains(&self.only) {
-            figures.extend(bench_datagrams::measure(&bench_datagrams::Settings {
-                time: Duration::from_secs(self.seconds),
-                rounds: self.rounds,
-                workers: self.workers,
-            })?);
+    }
+
+    fn run_tables(&self) -> Result {
+        let mut report = Report::default();
+        bench_tables::run(&mut report);
+        if let Some(path) = &self.json {
+            report.save(path)?;
         }
-        print(&figures);
-        fs::write(
-            &self.json,
-            serde_json::to_vec_pretty(&figures).unwrap_or_default(),
-        )?;
         Ok(())
     }
 }
 
-fn print(figures: &[Figure]) {
-    println!("| measure | case | figure | unit | goal |");
-    println!("| --- | --- | ---: | --- | --- |");
-    for figure in figures {
-        let Figure {
-            name,
-            case,
-            value,
-            unit,
-            goal,
-        } = figure;
-        let goal = goal.unwrap_or_default();
-        println!("| {name} | {case} | {value:.2} | {unit} | {goal} |");
+impl Datagrams {
+    fn measure(&self) -> io::Result<Vec<Figure>> {
+        bench_datagrams::measure(&bench_datagrams::Settings {
+            time: Duration::from_secs(self.seconds),
+            rounds: self.rounds,
+            workers: self.workers,
+        })
     }
 }
--- a/crates/skylarkflow/src/bench_decisions.rs
+++ b/crates/skylarkflow/src/bench_decisions.rs
@@ -1,7 +1,7 @@
 //! Cost of an owner lookup and of a placement, and memory of a flow entry.
 
 use {
-    crate::bench::Figure,
+    crate::{figure::Figure, measure::resident_bytes},
     skylarkflow_policy::{
         balancer::{self, Action, Core, Event},
         config::{Pool, Resolved, Route, Snapshot, Upstream},
@@ -13,7 +13,6 @@
         pool::{self, Dispatcher},
     },
     std::{
-        fs,
         hint::black_box,
         net::{Ipv4Addr, SocketAddr},
         sync::Arc,
@@ -33,9 +32,6 @@
 /// Measurements of which the fastest counts, since interruptions by other processes only add time.
 const REPETITIONS: usize = 5;
 
-/// Bytes of a page in `/proc/self/statm`.
-const PAGE_BYTES: usize = 4_096;
-
 /// Flows between two steps of the clock, when the windows of earlier flows are to expire.
 const BATCH: usize = 10_000;
 
@@ -260,7 +256,7 @@
         fleet.expire();
     }
     let open = fleet.core.flows();
-    let used = resident_bytes().saturating_sub(before);
+    let used = resident_bytes() - before;
     let state = if is_idle {
         "no recent request"
     } else {
@@ -269,17 +265,8 @@
     Figure {
         name: "memory of a flow entry",
         case: format!("{open} flows, {state}"),
-        value: used as f64 / open as f64,
+        value: used / open as f64,
         unit: "bytes",
         goal: is_idle.then_some("200"),
     }
 }
-
-fn resident_bytes() -> usize {
-    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<usize>().ok());
-    pages.unwrap_or_default() * PAGE_BYTES
-}
--- a/crates/skylarkflow/src/bench_steps.rs
+++ b/crates/skylarkflow/src/bench_steps.rs
@@ -1,7 +1,7 @@
 //! Cost of the steps that a request takes through a balancer, without sockets.
 
 use {
-    crate::bench::Figure,
+    crate::figure::Figure,
     skylarkflow_caller::{
         envelope::{self, Datagram},
         message::{self, Message},
--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        apply::Apply, bench::Bench, check::Check, drain::Drain, emulate, run::Run, status::Status,
+        apply::Apply, bench::Bench, check::Check, demo::Demo, drain::Drain, emulate, run::Run,
+        status::Status,
     },
     argh::FromArgs,
     derive_more::Display,
@@ -39,9 +40,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
-    Apply(Apply),
     Bench(Bench),
+    Apply(Apply),
     Check(Check),
+    Demo(Demo),
     Drain(Drain),
     Emulate(emulate::Emulate),
     Run(Run),
@@ -80,9 +82,10 @@
     /// Fails with the exit code of the process.
     pub fn run(self) -> Result {
         match self.command {
-            Command::Apply(apply) => apply.run(),
             Command::Bench(bench) => bench.run(),
+            Command::Apply(apply) => apply.run(),
             Command::Check(check) => check.run(),
+            Command::Demo(demo) => demo.run(),
             Command::Drain(drain) => drain.run(),
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
