--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -11,7 +11,7 @@
         flow::{Entry, Key, shard_index},
         history::Trace,
         id::UpstreamId,
-        shard::{Held, Live, Shard},
+        shard::{Copies, Held, Live, Shard},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -21,6 +21,14 @@
 /// The previous owner may have had newer tables; the bound on differing tables is 3 s.
 const TABLES_LAG: Duration = Duration::from_secs(5);
 
+/// Longest time from the death of an owner until this balancer drops it from its view, plus the bound on differing
+/// tables: 3 s to declare it dead, 3 s for the view and 3 s for the tables.
+const DEATH_LAG: Duration = Duration::from_secs(9);
+
+/// Time for which flows that differ from former tables count as exceptions; above [`DEATH_LAG`] by the bound on
+/// differing tables.
+const COPIED: Duration = Duration::from_secs(12);
+
 /// Max-Age of a refusal without a better estimate, in seconds.
 const MAX_AGE: u32 = 1;
 
@@ -59,7 +67,7 @@
             return;
         }
         match self.standing(shard, &key) {
-            Standing::Here(trace) => self.take(shard, held, trace, None),
+            Standing::Here(trace) => self.take(shard, held, trace, Copies::default()),
             Standing::Elsewhere(trace) => self.start_claim(shard, held, &trace),
             Standing::Gone => self.drop_datagram(key, Drop::NotOwner),
         }
@@ -108,19 +116,13 @@
     }
 
     /// Serves a request of a flow that nobody else holds.
-    pub(crate) fn take(
-        &mut self,
-        shard: &mut Shard,
-        held: Held,
-        trace: Trace,
-        copy: Option<UpstreamId>,
-    ) {
+    pub(crate) fn take(&mut self, shard: &mut Shard, held: Held, trace: Trace, copies: Copies) {
         let key = held.key;
         if shard.flows.get(&key).is_none() {
             if !shard.flows.has_room() {
                 return self.refuse_new(shard, held);
             }
-            let entry = self.new_entry(shard, &key, trace.quarantined_until, copy);
+            let entry = self.new_entry(shard, &key, trace.quarantined_until, copies);
             shard.flows.insert(key, entry);
         }
         self.refresh(shard, &held, trace.quarantined_until);
@@ -138,18 +140,18 @@
         shard: &mut Shard,
         key: &Key,
         quarantined_until: Duration,
-        copy: Option<UpstreamId>,
+        copies: Copies,
     ) -> Entry {
         let moved = shard.moved.remove(key);
         let epoch = moved.as_ref().map_or(0, |moved| moved.epoch + 1);
         let kept = moved.and_then(|moved| moved.record?.upstream);
         let replica = shard.replicas.remove(key).map(|replica| replica.upstream);
         let is_taken_over = quarantined_until > self.now;
-        let guess = match is_taken_over {
-            true => self.former_default(key),
-            false => None,
-        };
-        let upstream = copy.or(replica).or(kept).or(guess);
+        let former = copies
+            .former
+            .or_else(|| self.former_default(key, quarantined_until))
+            .filter(|_| is_taken_over);
+        let upstream = copies.copy.or(replica).or(kept).or(former);
         self.count_opened(key, upstream);
         if is_taken_over {
             self.note(Note::Quarantined {
@@ -173,10 +175,20 @@
         }
     }
 
-    /// Returns the default upstream by the tables that a crashed owner had, if they may differ from the present ones.
-    fn former_default(&self, key: &Key) -> Option<UpstreamId> {
-        let tables = self.config.oldest_within(self.now, TABLES_LAG)?;
-        default_upstream(tables, key)
+    /// Returns the default upstream by the tables that a crashed owner had.
+    ///
+    /// What differed from these, or from any tables within [`COPIED`], was copied in advance.
+    pub(crate) fn former_default(
+        &self,
+        key: &Key,
+        quarantined_until: Duration,
+    ) -> Option<UpstreamId> {
+        let known_dead = match quarantined_until > self.now {
+            true => quarantined_until.saturating_sub(QUARANTINE),
+            false => self.now,
+        };
+        let mut tables = self.config.since(known_dead.saturating_sub(DEATH_LAG));
+        default_upstream(tables.next()?, key)
     }
 
     fn refresh(&self, shard: &mut Shard, held: &Held, quarantined_until: Duration) {
@@ -368,13 +380,16 @@
 
     /// Returns whether another balancer could not derive the upstream of a flow from its tables.
     pub(crate) fn is_exception(&self, key: &Key, upstream: UpstreamId) -> bool {
-        let mut tables = self.config.within(self.now, 2 * TABLES_LAG);
+        let mut tables = self.config.since(self.now.saturating_sub(COPIED));
         tables.any(|tables| default_upstream(tables, key) != Some(upstream))
     }
 }
 
+/// Returns the upstream that a flow without an entry gets, unless that one is draining.
 fn default_upstream(tables: &Snapshot, key: &Key) -> Option<UpstreamId> {
     let route = tables.routes.get(&key.service)?;
     let pool: &Arc<Resolved> = tables.pools.get(&route.pool_id())?;
-    pool.table.get(key.hash())
+    let upstream = pool.table.get(key.hash())?;
+    let is_draining = pool.upstream(upstream).is_some_and(|one| one.drain);
+    (!is_draining).then_some(upstream)
 }
--- a/crates/policy/src/background.rs
+++ b/crates/policy/src/background.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    fn dispatch_message(&mut self, class: Class, to: VmId, records: Vec<Record>) {
+    pub(crate) fn dispatch_message(&mut self, class: Class, to: VmId, records: Vec<Record>) {
         let bytes = records.iter().map(Record::size).sum();
         let mut machine = self.core.machine();
         let sequence = machine.number();
@@ -237,7 +237,9 @@
 
     /// Tells the others that everything that belongs to them has been sent.
     fn announce(&mut self) {
-        let to = self.core.machine().announce(self.now);
+        let is_member = self.history.current().is_member(self.core.id());
+        let must_wait = is_member && !self.history.quarantine(self.now).is_zero();
+        let to = self.core.machine().announce(self.now, must_wait);
         for id in to {
             self.send_complete(id);
         }
@@ -248,6 +250,7 @@
             view: self.history.digest(),
             pools: self.config.digest,
             incarnation: self.core.incarnation(),
+            quarantine: self.history.quarantine(self.now),
             awaits: self.history.is_pending(to),
         };
         self.send(to, message);
@@ -260,12 +263,13 @@
                 view,
                 pools,
                 incarnation,
+                quarantine,
                 awaits,
             } => {
                 self.meet(from, incarnation);
                 let is_equal = view == self.history.digest() && pools == self.config.digest;
                 if is_equal {
-                    self.completed(from, awaits);
+                    self.completed(from, quarantine, awaits);
                 }
             }
             Message::Completed { view, .. } if view == self.history.digest() => {
@@ -275,11 +279,14 @@
         }
     }
 
-    fn completed(&mut self, from: VmId, awaits: bool) {
+    fn completed(&mut self, from: VmId, quarantine: Duration, awaits: bool) {
         if self.history.is_pending(from) {
             self.note(Note::Completed { from });
             let now = self.now;
-            self.history = self.core.update(|history| history.complete(now, from));
+            self.history = self.core.update(|history| match quarantine.is_zero() {
+                true => history.complete(now, from),
+                false => history.complete_in_quarantine(now, from, quarantine),
+            });
         }
         let message = Message::Completed {
             view: self.history.digest(),
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -29,7 +29,10 @@
 pub use crate::event::{Action, Event, Note, Step};
 
 /// Former tables that are kept for the flows that followed their defaults.
-const FORMER_TABLES: usize = 8;
+const FORMER_TABLES: usize = 16;
+
+/// Time for which former tables are kept; a flow of a crashed owner may stay silent for the whole quarantine.
+const FORMER_AGE: Duration = Duration::from_secs(90);
 
 /// Limits of one balancer.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -97,25 +100,19 @@
 }
 
 impl Config {
-    /// Returns the tables that were in force at any time within a period that ends now.
-    pub(crate) fn within(
-        &self,
-        now: Duration,
-        period: Duration,
-    ) -> impl Iterator<Item = &Arc<Snapshot>> {
+    /// Returns the tables that were in force at a time or later, oldest first.
+    pub(crate) fn since(&self, time: Duration) -> impl Iterator<Item = &Arc<Snapshot>> {
         let former = self.former.iter();
-        let recent = former.filter(move |(_, replaced)| now < *replaced + period);
+        let recent = former.filter(move |(_, replaced)| *replaced > time);
         recent.map(|(tables, _)| tables).chain([&self.tables])
     }
 
-    /// Returns the oldest tables that were in force within a period that ends now.
-    pub(crate) fn oldest_within(&self, now: Duration, period: Duration) -> Option<&Snapshot> {
-        self.within(now, period).next().map(|tables| &**tables)
-    }
-
     fn replaced(&self, now: Duration, tables: Arc<Snapshot>) -> Config {
         let mut former = self.former.clone();
-        former.push((self.tables.clone(), now));
+        if !self.tables.routes.is_empty() {
+            former.push((self.tables.clone(), now));
+        }
+        former.retain(|(_, replaced)| now < *replaced + FORMER_AGE);
         if former.len() > FORMER_TABLES {
             former.remove(0);
         }
--- a/crates/policy/src/context.rs
+++ b/crates/policy/src/context.rs
@@ -171,14 +171,15 @@
             age: self.now.saturating_sub(exchange.arrived),
             state: State::Answered(Some(body.clone())),
         };
-        self.send_outcome(moved.to, exchange.key, mark);
+        self.send_outcome(moved.to, 0, exchange.key, mark);
     }
 
-    pub(crate) fn send_outcome(&mut self, to: VmId, key: Key, mark: Mark) {
+    pub(crate) fn send_outcome(&mut self, to: VmId, hops: u8, key: Key, mark: Mark) {
         let mut machine = self.core.machine();
         let sequence = machine.number();
         let message = Message::Outcome {
             sequence,
+            hops,
             key,
             mark,
         };
--- a/crates/policy/src/handover.rs
+++ b/crates/policy/src/handover.rs
@@ -30,6 +30,9 @@
 /// Time after which an unconfirmed message is repeated; also the limit for a grant.
 pub(crate) const REPEAT: Duration = Duration::from_millis(300);
 
+/// Balancers that pass an outcome on; more than that, and the flow is still on its way.
+pub(crate) const OUTCOME_HOPS: u8 = 2;
+
 /// Claims to one balancer before the flow is quarantined.
 pub(crate) const CLAIMS: u32 = 3;
 
@@ -87,6 +90,8 @@
         pools: Digest,
         /// Start of the sending balancer.
         incarnation: Incarnation,
+        /// Remaining time in which flows without an entry are in quarantine.
+        quarantine: Duration,
         /// Whether the sender waits for the completion of the receiver.
         awaits: bool,
     },
@@ -101,6 +106,8 @@
     Outcome {
         /// Number of the message, unique to its sender.
         sequence: u64,
+        /// Balancers that have passed it on, so that it does not go round for ever.
+        hops: u8,
         /// The flow.
         key: Key,
         /// The request and its response.
@@ -121,6 +128,8 @@
         quarantine: Duration,
         /// Upstream of the flow according to a copy.
         copy: Option<UpstreamId>,
+        /// Default upstream by the tables that an owner had that has just crashed.
+        former: Option<UpstreamId>,
     },
 }
 
@@ -342,6 +351,15 @@
         self.outstanding.insert(sequence, outstanding);
     }
 
+    /// Returns whether a flow has been pushed and its new owner has not confirmed it.
+    pub(crate) fn is_outstanding(&self, key: &Key) -> bool {
+        let mut messages = self.outstanding.values().map(|one| &one.message);
+        messages.any(|message| match message {
+            Message::Push { records, .. } => records.iter().any(|record| record.key == *key),
+            _ => false,
+        })
+    }
+
     /// Removes a confirmed message.
     pub(crate) fn stored(&mut self, from: VmId, sequence: u64) {
         if self.outstanding.get(&sequence).map(|one| one.to) == Some(from) {
@@ -376,8 +394,10 @@
     }
 
     /// Returns the balancers that are to hear of the completion now.
-    pub(crate) fn announce(&mut self, now: Duration) -> Vec<VmId> {
-        if !self.is_announced && self.is_complete() {
+    ///
+    /// A balancer with flows in quarantine waits, so that their new owners ask for each; one that is leaving cannot.
+    pub(crate) fn announce(&mut self, now: Duration, must_wait: bool) -> Vec<VmId> {
+        if !self.is_announced && self.is_complete() && !must_wait {
             self.is_announced = true;
             self.announce_at = now;
         }
--- a/crates/policy/src/history.rs
+++ b/crates/policy/src/history.rs
@@ -50,6 +50,10 @@
     pending: Set<VmId>,
     /// Members that took their flows with them, and the end of the quarantine.
     lost: Map<VmId, Duration>,
+    /// Views without a silent member, which name the balancers that have copies of its exceptions.
+    heirs: Map<VmId, Arc<View>>,
+    /// Whether the views before this one are unknown, so that a flow may also be at a member that does not own it.
+    is_first: bool,
     /// End of the quarantine of flows that another zone may have served.
     foreign_until: Duration,
 }
@@ -123,12 +127,23 @@
         for previous in &mut self.previous {
             previous.lose(id, now + QUARANTINE);
         }
-        let mut lost = Previous::new(self.current.clone(), self.id, Duration::ZERO);
-        lost.pending.clear();
-        if lost.view.is_member(id) {
-            lost.lost.insert(id, now + QUARANTINE);
+        let mut present = Previous::new(self.current.clone(), self.id, Duration::ZERO);
+        present.pending.retain(|&member| member == id);
+        present.lose(id, now + QUARANTINE);
+        self.previous.push(present);
+    }
+
+    /// Returns whether [`suspect`](History::suspect) would add anything.
+    pub fn is_unsuspected(&self, id: VmId) -> bool {
+        let mut previous = self.previous.iter();
+        previous.any(|one| one.view.is_member(id) && !one.heirs.contains_key(&id))
+    }
+
+    /// Records that a member does not answer claims, so that the holder of copies is asked as well.
+    pub fn suspect(&mut self, id: VmId) {
+        for previous in &mut self.previous {
+            previous.suspect(id);
         }
-        self.previous.push(lost);
     }
 
     /// Returns where a flow may be, apart from this balancer and `except`.
@@ -150,6 +165,21 @@
         previous.any(|previous| previous.pending.contains(&id))
     }
 
+    /// Returns the remaining time in which flows without an entry may be in quarantine here.
+    pub fn quarantine(&self, now: Duration) -> Duration {
+        let lost = self.previous.iter().flat_map(|one| one.lost.values());
+        let foreign = self.previous.iter().map(|one| &one.foreign_until);
+        let until = lost.chain(foreign).chain([&self.overflow]).max();
+        until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    }
+
+    /// Records that a leaving member has handed over its flows, but flows without an entry are in quarantine.
+    pub fn complete_in_quarantine(&mut self, now: Duration, from: VmId, quarantine: Duration) {
+        for previous in &mut self.previous {
+            previous.lose(from, now + quarantine);
+        }
+    }
+
     /// Returns the digest of the view in force.
     pub fn digest(&self) -> Digest {
         self.current.digest()
@@ -201,12 +231,23 @@
         self.successor = successor;
         self.number += 1;
         self.push(previous, foreign_until);
+        if self.number == 1 {
+            self.open_first();
+        }
         if self.previous.len() > VIEWS {
             self.previous.remove(0);
             self.overflow = now + QUARANTINE;
         }
     }
 
+    fn open_first(&mut self) {
+        let leaving = self.current.leaving().iter().map(|member| member.id);
+        if let Some(first) = self.previous.last_mut() {
+            first.is_first = true;
+            first.pending.extend(leaving.filter(|&id| id != self.id));
+        }
+    }
+
     fn push(&mut self, view: Arc<View>, foreign_until: Duration) {
         self.previous
             .push(Previous::new(view, self.id, foreign_until));
@@ -243,6 +284,8 @@
         Previous {
             pending: members.filter(|&id| id != own).collect(),
             lost: Map::default(),
+            heirs: Map::default(),
+            is_first: false,
             foreign_until,
             view,
         }
@@ -251,6 +294,13 @@
     fn lose(&mut self, id: VmId, until: Duration) {
         if self.pending.remove(&id) {
             self.lost.insert(id, until);
+            self.suspect(id);
+        }
+    }
+
+    fn suspect(&mut self, id: VmId) {
+        if self.view.is_member(id) && !self.heirs.contains_key(&id) {
+            self.heirs.insert(id, Arc::new(self.view.without(id)));
         }
     }
 
@@ -263,12 +313,24 @@
             return;
         };
         let until = self.lost.get(&id).copied().unwrap_or_default();
-        if until > now {
-            trace.quarantined_until = trace.quarantined_until.max(until);
-        }
-        let may_answer = self.pending.contains(&id) || until > now;
-        if may_answer && history.reaches(now, id) && !trace.ask.contains(&id) {
-            trace.ask.push(id);
+        trace.quarantined_until = trace.quarantined_until.max(until);
+        if self.pending.contains(&id) || until > now {
+            trace.add(history, now, Some(id));
+            let heirs = self.heirs.get(&id);
+            let heir = heirs.and_then(|heirs| heirs.decide(flow).balancer());
+            trace.add(history, now, heir);
+        } else if self.is_first {
+            for &id in &self.pending {
+                trace.add(history, now, Some(id));
+            }
         }
     }
 }
+
+impl Trace {
+    fn add(&mut self, history: &History, now: Duration, id: Option<VmId>) {
+        let id = id.filter(|&id| id != history.id && history.reaches(now, id));
+        let new = id.filter(|id| !self.ask.contains(id));
+        self.ask.extend(new);
+    }
+}
--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -8,7 +8,7 @@
         lookup::{self, Input, Table},
         zone::Rank,
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug)]
 struct Zone {
     name: String,
-    table: Table,
+    table: Arc<Table>,
 }
 
 impl View {
@@ -85,10 +85,19 @@
 
     /// Returns the view that would follow if a member crashed.
     pub fn without(&self, id: VmId) -> View {
-        let others = self.members.iter().filter(|member| member.id != id);
-        let others: Vec<Member> = others.cloned().collect();
-        let names = self.zones.iter().map(|zone| &*zone.name);
-        View::new(names, &others).with_leaving(&self.leaving)
+        let mut view = self.clone();
+        let Ok(at) = view.members.binary_search_by_key(&id, |member| member.id) else {
+            return view;
+        };
+        let gone = view.members.remove(at);
+        view.addresses.remove(&id);
+        let names: Vec<&str> = self.zones.iter().map(|zone| &*zone.name).collect();
+        view.digest = digest(&names, &view.members);
+        // The tables of the other zones stay as they are.
+        for zone in view.zones.iter_mut().filter(|zone| zone.name == gone.zone) {
+            *zone = Zone::new(&gone.zone, &view.members);
+        }
+        view
     }
 
     /// Returns a value that two balancers share if their tables are equal.
@@ -101,6 +110,11 @@
         &self.members
     }
 
+    /// Returns the balancers that are leaving.
+    pub fn leaving(&self) -> &[Member] {
+        &self.leaving
+    }
+
     /// Returns whether a balancer owns flows in this view.
     pub fn is_member(&self, id: VmId) -> bool {
         let found = self.members.binary_search_by_key(&id, |member| member.id);
@@ -165,7 +179,7 @@
             .collect();
         Zone {
             name: name.to_owned(),
-            table: Table::new(&inputs, lookup::OWNER_SLOTS),
+            table: Arc::new(Table::new(&inputs, lookup::OWNER_SLOTS)),
         }
     }
 }
--- a/crates/policy/src/shard.rs
+++ b/crates/policy/src/shard.rs
@@ -44,6 +44,13 @@
     pub(crate) arrived: Duration,
 }
 
+/// What other balancers know about the upstream of a flow that they do not hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Copies {
+    pub(crate) copy: Option<UpstreamId>,
+    pub(crate) former: Option<UpstreamId>,
+}
+
 /// A search for the holder of a flow.
 #[derive(Debug, Default)]
 pub(crate) struct Claim {
@@ -52,7 +59,7 @@
     pub(crate) asked: Set<VmId>,
     pub(crate) next: Duration,
     pub(crate) quarantined_until: Duration,
-    pub(crate) copy: Option<UpstreamId>,
+    pub(crate) copies: Copies,
     pub(crate) held: Vec<Held>,
 }
 
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -6,10 +6,10 @@
         dedupe::{Mark, QUARANTINE},
         event::{Drop, Note},
         flow::{Entry, Key, shard_index},
-        handover::{Answer, CLAIMS, Message, REPEAT, Record},
+        handover::{Answer, CLAIMS, Class, Message, OUTCOME_HOPS, REPEAT, Record},
         history::Trace,
         id::{Incarnation, UpstreamId, VmId},
-        shard::{Claim, Held, KEPT, Moved, Replica, Shard},
+        shard::{Claim, Copies, Held, KEPT, Moved, Replica, Shard},
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -35,9 +35,14 @@
             Message::Stored { sequence } => self.core.machine().stored(from, sequence),
             Message::Outcome {
                 sequence,
+                hops,
                 key,
                 mark,
-            } => self.outcome(from, sequence, key, mark),
+            } => {
+                if self.outcome(from, hops, key, mark) {
+                    self.send(from, Message::Stored { sequence });
+                }
+            }
             Message::Complete { .. } | Message::Completed { .. } => self.completion(from, message),
         }
     }
@@ -85,21 +90,32 @@
     }
 
     fn repeat_claim(&mut self, shard: &mut Shard, key: Key) {
-        let left_until = self.trace(shard, &key, true).quarantined_until;
+        let Some(claim) = shard.claims.get(&key) else {
+            return;
+        };
+        let waiting = claim.waiting.iter();
+        let silent = waiting.filter(|&(_, &tries)| tries >= CLAIMS);
+        let silent: Vec<VmId> = silent.map(|(&id, _)| id).collect();
+        for &id in &silent {
+            if self.history.is_unsuspected(id) {
+                self.history = self.core.update(|history| history.suspect(id));
+            }
+        }
+        // The view may have changed since the claim was started.
+        let trace = self.trace(shard, &key, true);
         let Some(claim) = shard.claims.get_mut(&key) else {
             return;
         };
         claim.next = self.now + REPEAT;
-        claim.quarantined_until = claim.quarantined_until.max(left_until);
+        claim.quarantined_until = claim.quarantined_until.max(trace.quarantined_until);
         claim
             .waiting
-            .retain(|&id, _| self.history.reaches(self.now, id));
-        let before = claim.waiting.len();
-        claim.waiting.retain(|_, tries| *tries < CLAIMS);
-        if claim.waiting.len() < before {
+            .retain(|&id, tries| *tries < CLAIMS && self.history.reaches(self.now, id));
+        if silent.iter().any(|&id| self.history.reaches(self.now, id)) {
             claim.quarantined_until = self.now + QUARANTINE;
         }
         claim.waiting.values_mut().for_each(|tries| *tries += 1);
+        claim.ask(&trace.ask);
         let ask: Vec<VmId> = claim.waiting.keys().copied().collect();
         match ask.is_empty() {
             true => self.resolve(shard, key),
@@ -117,7 +133,7 @@
             quarantined_until: claim.quarantined_until,
         };
         for held in claim.held {
-            self.take(shard, held, trace.clone(), claim.copy);
+            self.take(shard, held, trace.clone(), claim.copies);
         }
     }
 
@@ -227,11 +243,14 @@
         let epoch = previous.map_or(0, |moved| moved.epoch);
         let moved = self.moved(from, epoch, None);
         shard.moved.insert(*key, moved);
-        let replica = shard.replicas.get(key);
+        let replica = shard.replicas.get(key).map(|replica| replica.upstream);
+        // The claimer may have joined after the tables of the crashed owner were replaced.
+        let former = self.former_default(key, trace.quarantined_until);
         Answer::None {
             ask: trace.ask,
             quarantine: trace.quarantined_until.saturating_sub(self.now),
-            copy: replica.map(|replica| replica.upstream),
+            copy: replica,
+            former,
         }
     }
 
@@ -244,6 +263,7 @@
                 ask,
                 quarantine,
                 copy,
+                former,
             } => {
                 let Some(claim) = shard.claims.get_mut(&key) else {
                     return;
@@ -255,7 +275,8 @@
                 if !quarantine.is_zero() {
                     claim.quarantined_until = claim.quarantined_until.max(until);
                 }
-                claim.copy = claim.copy.or(copy);
+                claim.copies.copy = claim.copies.copy.or(copy);
+                claim.copies.former = claim.copies.former.or(former);
                 self.pursue(&mut shard, key, ask);
             }
         }
@@ -290,7 +311,7 @@
         self.note(Note::Claimed { key, from });
         self.adopt(shard, record);
         for held in claim.map(|claim| claim.held).unwrap_or_default() {
-            self.take(shard, held, Trace::default(), None);
+            self.take(shard, held, Trace::default(), Copies::default());
         }
     }
 
@@ -363,11 +384,31 @@
 
     fn pushed(&mut self, from: VmId, sequence: u64, records: Vec<Record>) {
         let core = self.core;
+        let mut is_stored = true;
         for record in records {
-            let mut shard = core.shards.lock(shard_index(&record.key));
+            let key = record.key;
+            let mut shard = core.shards.lock(shard_index(&key));
             self.accept(&mut shard, from, record);
+            self.relay(&mut shard, from, &key);
+            is_stored &= !core.machine().is_outstanding(&key);
+        }
+        // The sender counts as complete only after a flow that was passed on has arrived.
+        if is_stored {
+            self.send(from, Message::Stored { sequence });
+        }
+    }
+
+    /// Passes a flow on that a balancer with an older view has sent here.
+    fn relay(&mut self, shard: &mut Shard, from: VmId, key: &Key) {
+        let owner = self.history.current().decide(key.hash()).balancer();
+        let Some(to) = owner.filter(|&to| to != from && to != self.core.id()) else {
+            return;
+        };
+        if shard.flows.get(key).is_some()
+            && let Some(record) = self.give_up(shard, key, to)
+        {
+            self.dispatch_message(Class::Recent, to, vec![record]);
         }
-        self.send(from, Message::Stored { sequence });
     }
 
     fn replicated(&mut self, from: VmId, sequence: u64, records: Vec<Record>) {
@@ -384,18 +425,20 @@
         self.send(from, Message::Stored { sequence });
     }
 
-    fn outcome(&mut self, from: VmId, sequence: u64, key: Key, mark: Mark) {
+    /// Records how a request ended; returns false if the entry of its flow is still on its way.
+    fn outcome(&mut self, from: VmId, hops: u8, key: Key, mark: Mark) -> bool {
         let core = self.core;
         let mut shard = core.shards.lock(shard_index(&key));
         if shard.flows.get(&key).is_some() {
             let window = shard.windows.entry(key).or_default();
             window.merge(self.now, vec![mark], &self.core.cache);
-        } else if let Some(moved) = shard.moved.get(&key) {
-            self.send_outcome(moved.to, key, mark);
-        } else {
-            // The entry is still on its way; the sender repeats the message.
-            return;
+            return true;
         }
-        self.send(from, Message::Stored { sequence });
+        let to = shard.moved.get(&key).map(|moved| moved.to);
+        let Some(to) = to.filter(|&to| to != from && hops < OUTCOME_HOPS) else {
+            return false;
+        };
+        self.send_outcome(to, hops + 1, key, mark);
+        true
     }
 }
--- a/crates/policy/tests/harness/fleet.rs
+++ b/crates/policy/tests/harness/fleet.rs
@@ -111,6 +111,57 @@
         }
     }
 
+    /// Schedules random steps within a period.
+    pub fn add_chaos(&mut self, steps: usize, period: Duration) {
+        let mut balancers: Vec<String> =
+            (0..self.nodes.len()).map(|one| format!("b{one}")).collect();
+        for index in 0..steps {
+            let at = self.now + period.mul_f64(self.rng.random_range(0.05..0.95));
+            let victim = self.rng.random_range(0..balancers.len());
+            let is_spare = balancers.len() > 1;
+            let upstream = format!("u{}", self.rng.random_range(0..self.servers.len()));
+            let period = Duration::from_secs(30);
+            let longest = Duration::from_secs(self.rng.random_range(1..12));
+            let step = match self.rng.random_range(0..9) {
+                0 | 1 if is_spare => Step::Crash {
+                    name: balancers.remove(victim),
+                },
+                2 if is_spare => Step::Pause {
+                    name: balancers.remove(victim),
+                    period,
+                },
+                3 if is_spare => Step::Leave {
+                    name: balancers.remove(victim),
+                },
+                4 => Step::Restart {
+                    name: upstream,
+                    period: Duration::from_secs(8),
+                },
+                5 => Step::Work {
+                    name: upstream,
+                    longest,
+                },
+                6 => Step::Drain {
+                    pool: "dispatch".to_owned(),
+                    name: upstream,
+                },
+                7 => Step::AddUpstreams {
+                    pool: "dispatch".to_owned(),
+                    count: 1,
+                },
+                8 => Step::Shed {
+                    name: upstream,
+                    share: 0.5,
+                },
+                _ => Step::Join {
+                    name: format!("c{index}"),
+                    zone: "z0".to_owned(),
+                },
+            };
+            self.schedule(at, Happening::Script(step));
+        }
+    }
+
     fn edit(&mut self, step: Step) {
         match step {
             Step::AddUpstreams { pool, count } => self.add_upstreams(&pool, count),
--- a/crates/policy/tests/harness/mod.rs
+++ b/crates/policy/tests/harness/mod.rs
@@ -19,6 +19,7 @@
         VmId,
         balancer::{Action, Core, Event, Note, Step},
         config::{self, Snapshot},
+        event::Doubt,
         exchange::{Effect, Kind, Reply},
         flow::Key,
         handover::Message,
@@ -158,6 +159,7 @@
     pub stop_at: Duration,
     queue: BinaryHeap<Queued>,
     sequence: u64,
+    seed: u64,
     pub incarnations: u64,
 }
 
@@ -181,7 +183,10 @@
     }
 }
 
-pub const TICK: Duration = Duration::from_millis(50);
+/// Events of one run; more of them mean that balancers send messages in a loop.
+const HAPPENINGS: u64 = 2_000_000;
+
+pub const TICK: Duration = Duration::from_millis(100);
 
 impl World {
     pub fn new(seed: u64) -> World {
@@ -216,6 +221,7 @@
             stop_at: Duration::MAX,
             queue: BinaryHeap::new(),
             sequence: 0,
+            seed,
             incarnations: 0,
         }
     }
@@ -261,12 +267,20 @@
                 break;
             };
             self.now = at;
+            assert!(
+                self.sequence < HAPPENINGS,
+                "seed {}: a message loop at {at:?}",
+                self.seed
+            );
             self.happen(happening);
         }
         self.now = until;
     }
 
     fn happen(&mut self, happening: Happening) {
+        if std::env::var_os("TRACE").is_some() && !matches!(happening, Happening::Tick { .. }) {
+            eprintln!("{:?} happens {happening:?}", self.now);
+        }
         match happening {
             Happening::Datagram { to, event, hops } => self.datagram(to, event, hops),
             Happening::Direct { to, event } => self.handle(to, event),
@@ -358,6 +372,9 @@
 
     fn send(&mut self, from: VmId, to: VmId, message: Message) {
         self.count("peer messages");
+        if std::env::var_os("TRACE").is_some() {
+            eprintln!("{:?} {from:x} to {to:x} {message:?}", self.now);
+        }
         if self.lacks("handover") && !matches!(message, Message::Replicate { .. }) {
             return;
         }
@@ -373,6 +390,13 @@
             eprintln!("{:?} {from:x} {note:?}", self.now);
         }
         match note {
+            Note::Unknown { reason, .. } => self.count(match reason {
+                Doubt::Deadline => "unknown by deadline",
+                Doubt::Quarantine => "unknown by quarantine",
+                Doubt::Fence => "unknown by fence",
+                Doubt::ActingOwner => "unknown by acting owner",
+                Doubt::Evicted => "unknown by eviction",
+            }),
             Note::Quarantined { .. } => self.count("flows quarantined"),
             Note::Claimed { .. } => self.count("flows handed over"),
             Note::Replaced { .. } => self.count("flows placed anew"),
--- a/crates/policy/tests/harness/upstream.rs
+++ b/crates/policy/tests/harness/upstream.rs
@@ -186,6 +186,9 @@
         let key = caller.key;
         let former = caller.upstream.replace(at);
         if former.is_some_and(|former| former != at && self.is_in_service(former)) {
+            if std::env::var_os("TRACE").is_some() {
+                eprintln!("{:?} BROKEN {key:?}", self.now);
+            }
             self.broken.insert(key);
         }
         let leaving = self.servers[&at].leaving_since;
--- a/crates/policy/tests/scenario.rs
+++ b/crates/policy/tests/scenario.rs
@@ -6,7 +6,16 @@
     datadriven::{TestCase, walk},
     harness::{Happening, World, fleet::Step},
     skylarkflow_policy::exchange::Effect,
-    std::{collections::BTreeMap, str::FromStr, time::Duration},
+    std::{
+        collections::BTreeMap,
+        str::FromStr,
+        sync::{
+            Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
 };
 
 /// Returns an argument of a directive or of a line of a script.
@@ -16,6 +25,9 @@
     value.parse().ok()
 }
 
+/// Seeds that run at a time.
+const THREADS: usize = 4;
+
 type Arguments = Vec<(String, String)>;
 
 fn arguments(case: &TestCase) -> Arguments {
@@ -169,19 +181,33 @@
         let (at, step) = line(text);
         world.schedule(begin + at, Happening::Script(step));
     }
-    let period: f64 = argument(&self::arguments(case), "for").unwrap();
+    let own = self::arguments(case);
+    let period: f64 = argument(&own, "for").unwrap();
+    let chaos = argument(&own, "chaos").unwrap_or(0);
+    world.add_chaos(chaos, Duration::from_secs_f64(period));
     world.stop_at = begin + Duration::from_secs_f64(period);
     world.run(world.stop_at + Duration::from_secs(100));
     world
 }
 
 fn run_seeds(arguments: &Arguments, case: &TestCase, file: &str) -> String {
-    let mut totals = Totals::default();
-    let seeds = argument(arguments, "seeds").unwrap_or(1);
-    for seed in 1..=seeds {
-        totals.add(seed, &run(arguments, seed, case));
-    }
-    totals.report(file)
+    let seeds: u64 = argument(arguments, "seeds").unwrap_or(1);
+    let totals = Mutex::new(Totals::default());
+    let first = argument(arguments, "first").unwrap_or(1);
+    let next = AtomicU64::new(first);
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let seed = next.fetch_add(1, Ordering::Relaxed)
+                    && seed < first + seeds
+                {
+                    let world = run(arguments, seed, case);
+                    totals.lock().unwrap().add(seed, &world);
+                }
+            });
+        }
+    });
+    totals.into_inner().unwrap().report(file)
 }
 
 #[test]
