--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,8 @@
     pub long_least: f64,
     /// High latency, as a multiple of the latency without load.
     pub high: f64,
+    /// Latency without a sign of load, as a multiple of the latency without load; service times vary.
+    pub calm: f64,
     /// Highest multiple that one sample counts as, so that one request behind a long one is not taken for overload.
     pub highest_sample: f64,
     /// Weight of the newest sample in the mean latency.
@@ -71,6 +73,7 @@
             long_floor: 2.0,
             long_least: 0.5,
             high: 2.0,
+            calm: 1.25,
             highest_sample: 4.0,
             smoothing: 0.1,
             slow_start: Duration::from_secs(10),
@@ -146,6 +149,12 @@
         self.limit * self.warmth(now)
     }
 
+    /// Returns where the mean latency lies between one without a sign of load, 0, and one that lowers the limit, 1.
+    pub fn strain(&self) -> f64 {
+        let Settings { calm, high, .. } = self.settings;
+        ((self.ratio - calm) / (high - calm)).clamp(0.0, 1.0)
+    }
+
     /// Returns whether one more request may be sent.
     pub fn allows(&self, now: Duration, in_flight: u32) -> bool {
         now >= self.paused_until && f64::from(in_flight) < self.value(now).max(1.0).floor()
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -120,7 +120,7 @@
             patience: [0.35, 0.5],
             blocked: 4.0,
             quick: 1.0,
-            hold: 5.0,
+            hold: 10.0,
             seed: 0,
         }
     }
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -103,7 +103,10 @@
     }
 
     /// Returns whether a long request may be sent: after a quick answer, or after it has waited for one for `hold`.
+    ///
+    /// At low load quick answers are rare and long requests seldom meet, so the wait is shorter.
     pub fn takes_long(&self, now: Duration, quick: Duration, hold: Duration) -> bool {
+        let hold = hold.mul_f64(self.lane(Kind::Short).limit.strain());
         let next = self.lane(Kind::Long).front();
         let is_overdue = next.is_some_and(|job| now >= job.arrived + hold);
         !self.is_blocked(now, quick) && (now <= self.cleared + quick || is_overdue)
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -66,9 +66,10 @@
     let work = stats.good_work / (f64::from(setup.slots) * setup.upstreams as f64 * seconds);
     let long = stats.good[1] as f64 / (capacity * setup.long_share.max(f64::MIN_POSITIVE));
     let (short_p99, long_p99) = (stats.p99(false), stats.p99(true));
+    let long_mean = mean(&stats.latencies[1]);
     let (offered, sent) = (stats.offered, stats.dispatches);
     let line = format!(
-        "goodput/capacity {requests:.3} work {work:.3} long {long:.3}, p99 short {short_p99:.3} s long {long_p99:.3} s, \
+        "goodput/capacity {requests:.3} work {work:.3} long {long:.3}, p99 short {short_p99:.3} s long {long_p99:.3} s mean {long_mean:.3} s, \
          offered {offered} sent {sent} early {} refused {}",
         stats.early, stats.refused
     );
