--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,24 +7,46 @@
 //! Start at [`balancer::Core`], which puts the modules together for one balancer.
 
 pub mod admission;
+mod admit;
+mod answer;
+mod background;
 pub mod balancer;
+pub mod budget;
 pub mod class;
 pub mod config;
+pub mod config_object;
+pub mod config_reader;
+pub mod config_relay;
+pub mod config_store;
+mod context;
 pub mod dedupe;
+pub mod deployment;
 pub mod dispatch;
+pub mod drain;
 pub mod event;
 pub mod exchange;
 pub mod flow;
 pub mod handover;
 pub mod health;
+pub mod history;
 pub mod id;
 pub mod lookup;
+pub mod member;
 pub mod members;
+pub mod node;
 pub mod owner;
+pub mod path;
 pub mod placement;
 pub mod pool;
 pub mod queue;
+pub mod quorum;
 pub mod retry;
+pub mod roster;
+mod shard;
+pub mod spread;
+pub mod swim;
+mod transfer;
+pub mod upstream;
 pub mod vm;
 pub mod zone;
 
--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -1,7 +1,10 @@
 //! The command line.
 
 use {
-    crate::{apply::Apply, check::Check, drain::Drain, emulate, run::Run, status::Status},
+    crate::{
+        apply::Apply, bench::Bench, check::Check, demo::Demo, drain::Drain, emulate, run::Run,
+        status::Status,
+    },
     argh::FromArgs,
     derive_more::Display,
     std::{env, error::Error, io, process::ExitCode},
@@ -37,8 +40,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(Bench),
     Apply(Apply),
     Check(Check),
+    Demo(Demo),
     Drain(Drain),
     Emulate(emulate::Emulate),
     Run(Run),
@@ -77,8 +82,10 @@
     /// Fails with the exit code of the process.
     pub fn run(self) -> Result {
         match self.command {
+            Command::Bench(bench) => bench.run(),
             Command::Apply(apply) => apply.run(),
             Command::Check(check) => check.run(),
+            Command::Demo(demo) => demo.run(),
             Command::Drain(drain) => drain.run(),
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
--- a/crates/skylarkflow/src/daemon.rs
+++ b/crates/skylarkflow/src/daemon.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        admin,
+        admin, caller,
         clock::Clock,
         context::Context,
-        control, event, follower, ingress,
+        control::{self, Input},
+        event, ingress,
         metrics::Metrics,
         peers,
         receiver::{self, Handler},
@@ -13,10 +14,16 @@
         sockets::{self, Addresses, BindError, Listeners, Sockets},
         timer, upstreams,
     },
-    crossbeam::channel::Receiver,
+    crossbeam::channel::{self, Receiver},
     derive_more::{Display, Error, From},
-    skylarkflow_peer::link,
-    skylarkflow_policy::{balancer::Core, dispatch::Fifo, id},
+    skylarkflow_operator::wire::Phase,
+    skylarkflow_policy::{
+        balancer::{self, Core},
+        config_reader::Call,
+        dispatch::Factory,
+        id,
+        pool::{self, Dispatcher},
+    },
     std::{
         io,
         net::UdpSocket,
@@ -24,7 +31,10 @@
         thread::{self, JoinHandle},
         time::Duration,
     },
-    tokio::runtime::{self, Runtime},
+    tokio::{
+        runtime::{self, Runtime},
+        sync::mpsc,
+    },
 };
 
 /// Threads of the asynchronous runtime: links, administration API and store client.
@@ -33,6 +43,9 @@
 /// Time that the asynchronous runtime gets to end its tasks.
 const RUNTIME_LIMIT: Duration = Duration::from_millis(500);
 
+/// Calls of the platform that wait for their task; a call that finds no place fails and is made again later.
+const CALLS: usize = 1_024;
+
 /// A balancer that cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -68,13 +81,15 @@
         let metrics = Arc::new(Metrics::new(&settings.metrics)?);
         let clock = Clock::start();
         let id = id::from_name(&settings.name);
-        let core = Core::new(id, clock.incarnation(), Fifo::factory());
+        let incarnation = clock.incarnation();
+        let core = Core::with_settings(id, incarnation, limits(&settings), factory(incarnation));
         let runtime = runtime()?;
-        let (links, events) = control::links(&settings.limits, runtime.handle(), &metrics);
-        let context = Context::new(settings, core, sockets, clock, metrics, links);
+        let (inbox, inputs) = channel::bounded(settings.limits.control_queue);
+        let links = control::links(&settings.limits, runtime.handle(), &metrics, &inbox);
+        let context = Context::new(settings, core, sockets, clock, metrics, links, inbox);
         let context = Arc::new(context);
-        start_tasks(&context, &runtime, listeners)?;
-        let threads = start_threads(&context, events)?;
+        let calls = start_tasks(&context, &runtime, listeners)?;
+        let threads = start_threads(&context, &addresses, inputs, calls)?;
         record_start(&context, &addresses);
         Ok(Handle {
             context,
@@ -96,6 +111,11 @@
         &self.context
     }
 
+    /// Returns whether the balancer takes flows.
+    pub fn is_ready(&self) -> bool {
+        self.context.drain().phase == Phase::Serving
+    }
+
     /// Starts a planned stop: the balancer hands its flows over, finishes the requests in flight and ends.
     pub fn drain(&self) {
         self.context.start_drain();
@@ -136,21 +156,46 @@
     })
 }
 
+fn limits(settings: &Settings) -> balancer::Settings {
+    let limits = &settings.limits;
+    balancer::Settings {
+        flows: limits.flows,
+        idle: limits.flow_idle,
+        cache_bytes: limits.cache_bytes,
+    }
+}
+
+fn factory(seed: u64) -> Factory {
+    let settings = pool::Settings {
+        seed,
+        ..pool::Settings::default()
+    };
+    Dispatcher::factory(settings, 1)
+}
+
 fn runtime() -> io::Result<Runtime> {
     let mut builder = runtime::Builder::new_multi_thread();
     let builder = builder.worker_threads(RUNTIME_THREADS).enable_all();
     builder.thread_name("tasks").build()
 }
 
-fn start_tasks(context: &Arc<Context>, runtime: &Runtime, listeners: Listeners) -> io::Result<()> {
+fn start_tasks(
+    context: &Arc<Context>,
+    runtime: &Runtime,
+    listeners: Listeners,
+) -> io::Result<mpsc::Sender<Call>> {
     context.links.listen(listeners.links)?;
-    runtime.spawn(follower::run(Arc::clone(context)));
-    admin::start(context, runtime.handle(), listeners.admin)
+    let (calls, called) = mpsc::channel(CALLS);
+    runtime.spawn(caller::run(Arc::clone(context), called));
+    admin::start(context, runtime.handle(), listeners.admin)?;
+    Ok(calls)
 }
 
 fn start_threads(
     context: &Arc<Context>,
-    events: Receiver<link::Event>,
+    addresses: &Addresses,
+    inputs: Receiver<Input>,
+    calls: mpsc::Sender<Call>,
 ) -> io::Result<Vec<JoinHandle<()>>> {
     type Source = (&'static str, usize, fn(&Context) -> &UdpSocket, Handler);
     let workers = context.settings.workers;
@@ -180,7 +225,8 @@
     }
     let control = thread::Builder::new().name("control".to_owned());
     let controlled = Arc::clone(context);
-    threads.push(control.spawn(move || control::run(&controlled, &events))?);
+    let address = addresses.peer;
+    threads.push(control.spawn(move || control::run(&controlled, address, &inputs, calls))?);
     let context = Arc::clone(context);
     let timer = thread::Builder::new().name("timer".to_owned());
     threads.push(timer.spawn(move || timer::run(&context))?);
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -4,27 +4,35 @@
 //! are in `skylarkflow-policy`. See [the design page](../../../docs/design.md).
 
 mod admin;
+mod adoption;
 mod apply;
 mod base;
+pub mod bench;
+mod bench_tables;
+mod caller;
 mod check;
 pub mod clock;
 pub mod command;
 pub mod context;
 mod control;
 pub mod daemon;
+mod demo;
+mod demo_report;
+mod demo_site;
 mod drain;
 pub mod emulate;
 pub mod event;
-mod follower;
 mod ingress;
 pub mod journal;
 mod listener;
 pub mod logs;
+mod measure;
 pub mod metrics;
 mod notes;
 mod peers;
 pub mod perform;
 mod receiver;
+mod reports;
 mod run;
 pub mod settings;
 pub mod sockets;
--- a/crates/skylarkflow/tests/support/site.rs
+++ b/crates/skylarkflow/tests/support/site.rs
@@ -9,7 +9,7 @@
         platform::Platform,
         upstream::{self, Behaviour, Upstream},
     },
-    skylarkflow_operator::wire::State,
+    skylarkflow_operator::wire::{Phase, State},
     std::{
         collections::BTreeMap,
         fs,
@@ -25,6 +25,9 @@
 /// Name of the service.
 pub const SERVICE: &str = "dispatch";
 
+/// Lines of each log that are printed after a failure.
+const LINES: usize = 400;
+
 /// What a site consists of.
 pub struct Options {
     /// Zones of the balancers, one for each.
@@ -170,12 +173,15 @@
         })
     }
 
-    /// Waits until every balancer knows `members` members and the tables.
+    /// Waits until every balancer knows `members` members and the tables and hears a majority of its zone.
     pub fn wait_until_serving(&self, members: usize) {
         wait_until("every balancer serves", || {
             (0..self.balancers.len()).all(|index| {
-                self.state(index)
-                    .is_some_and(|state| state.members.len() >= members && !state.pools.is_empty())
+                self.state(index).is_some_and(|state| {
+                    state.fence_held
+                        && alive(&state) >= members
+                        && state.drain.phase == Phase::Serving
+                })
             })
         });
     }
@@ -197,6 +203,28 @@
     }
 }
 
+impl Drop for Site {
+    /// Prints the balancers' logs of a failed test, but for single flows.
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        for index in 0..self.balancers.len() {
+            let log = fs::read_to_string(self.log(index)).unwrap_or_default();
+            let lines = log.lines().filter(|line| !line.contains(" E2001 "));
+            for line in lines.take(LINES) {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
+/// Returns the number of members that are alive.
+pub fn alive(state: &State) -> usize {
+    let members = state.members.iter();
+    members.filter(|member| member.state == "alive").count()
+}
+
 /// Waits until a condition holds.
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Duration {
     let start = Instant::now();
