Test with an off-the-shelf CoAP client

Cause: every caller so far used the codec that the balancer uses, so an error of the codec on both sides would not show. Change: toad (codec toad-msg) as a development dependency in its default configuration: a read, a post, 1 MiB in 1,024 blocks and a long poll of 4 s through four balancers in two zones. toad has no block-wise transfer of its own, so the test asks for each block. It needs the system's OpenSSL headers to build, for its DTLS part, which the test does not use. Ruled out: coap and coap-client, since coap uses the balancer's codec and coap-client needs OpenSSL too and was not looked into further. With the block option in three bytes the transfer never ends: the emulated upstream reads no such option and answers block 0; the test now encodes numbers without leading zeros and checks the number of each block. Conclusion: the client works through sprayed balancers, and a post that it repeats runs once.

--- /dev/null
+++ b/crates/skylarkflow/tests/client.rs
@@ -0,0 +1,169 @@
+//! An off-the-shelf CoAP client with a codec of its own, in its default configuration.
+//!
+//! It retransmits earlier than RFC 7252 says, and goes on after an empty acknowledgement.
+
+mod support;
+
+use {
+    skylarkflow_emulator::upstream::Upstream,
+    std::{
+        sync::{atomic::Ordering, mpsc},
+        thread,
+        time::{Duration, Instant},
+    },
+    support::site::{Options, Site, wait_until},
+    toad::{
+        config::Config,
+        net::Addrd,
+        platform::Platform as _,
+        req::Req,
+        resp::Resp,
+        std::{Platform, PlatformTypes, dtls},
+        step::runtime,
+    },
+    toad_msg::{Code, OptNumber, OptValue},
+};
+
+type Client = Platform<dtls::N, runtime::std::Runtime<dtls::N>>;
+type Types = PlatformTypes<dtls::N>;
+
+const BLOCK2: OptNumber = OptNumber(23);
+
+/// Exponent of blocks of 1,024 bytes (RFC 7959, section 2.2).
+const BLOCK_EXPONENT: u32 = 6;
+
+/// Bit of the option that says that more blocks follow.
+const MORE: u8 = 0x08;
+
+const CONTENT: Code = Code {
+    class: 2,
+    detail: 5,
+};
+const CREATED: Code = Code {
+    class: 2,
+    detail: 1,
+};
+
+/// Length of the bundle, in bytes.
+const BUNDLE_BYTES: usize = 1 << 20;
+
+/// Time that the long poll waits for its answer.
+const LONG_POLL: Duration = Duration::from_secs(4);
+
+/// Time after which a call of the client counts as hanging; its own retransmissions end before.
+const CALL_LIMIT: Duration = Duration::from_secs(60);
+
+fn site() -> Site {
+    let mut options = Options {
+        zones: vec!["tacoma", "salem", "tacoma", "salem"],
+        ..Options::default()
+    };
+    options.behaviour.long_time = LONG_POLL;
+    options.behaviour.bundle_bytes = BUNDLE_BYTES;
+    Site::start(&options)
+}
+
+fn client() -> Client {
+    Client::try_new("127.0.0.1:0", Config::default()).expect("a socket")
+}
+
+fn send(client: &Client, site: &Site, request: Req<Types>) -> Resp<Types> {
+    let service = site.service.to_string().parse().expect("an address");
+    let answer = client.send_req(&Addrd(request.into(), service));
+    answer.expect("an answer").unwrap().into()
+}
+
+fn payload(answer: &Resp<Types>) -> Vec<u8> {
+    answer.payload().copied().collect()
+}
+
+/// Encodes a number without leading zero bytes (RFC 7252, section 3.2).
+fn uint(number: u32) -> Vec<u8> {
+    let bytes = number.to_be_bytes();
+    bytes.into_iter().skip_while(|&byte| byte == 0).collect()
+}
+
+/// Ends the test instead of waiting without end, since the client has no limit for a call.
+fn limited<T: Send + 'static>(call: impl FnOnce() -> T + Send + 'static) -> T {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || sender.send(call()));
+    receiver.recv_timeout(CALL_LIMIT).expect("the call ends")
+}
+
+/// Guards against answers that only the project's own codec understands.
+#[test]
+fn a_read_is_answered() {
+    let answer = limited(|| {
+        let answer = send(&client(), &site(), Req::get("stops"));
+        (answer.code(), payload(&answer))
+    });
+    assert_eq!(answer.0, CONTENT);
+    assert!(answer.1.starts_with(b"dispatch-"), "{:?}", answer.1);
+}
+
+/// Guards against a non-idempotent request that runs once for each retransmission of a client that repeats itself
+/// after 500 ms.
+#[test]
+fn a_post_runs_once_although_the_client_repeats_itself() {
+    let executed = limited(|| {
+        let site = site();
+        for upstream in &site.upstreams {
+            upstream.adjust(|behaviour| behaviour.service_time = LONG_POLL);
+        }
+        let mut request = Req::post("weights");
+        request.set_payload("bin 7: 12 kg".bytes());
+        let answer = send(&client(), &site, request);
+        assert_eq!(answer.code(), CREATED);
+        site.executed()
+    });
+    let counts: Vec<(&str, u32)> = executed
+        .iter()
+        .map(|(key, &count)| (&**key, count))
+        .collect();
+    assert_eq!(counts, [("bin 7: 12 kg", 1)]);
+}
+
+/// Guards against blocks of one transfer that reach several upstreams or get lost.
+#[test]
+fn a_bundle_of_a_megabyte_arrives_in_blocks() {
+    let (bundle, sources) = limited(|| {
+        let site = site();
+        let client = client();
+        let mut bundle = Vec::new();
+        for number in 0.. {
+            let mut request = Req::<Types>::get("bundle");
+            let option = uint(number << 4 | BLOCK_EXPONENT);
+            let option = vec![OptValue(option)];
+            request.msg_mut().opts.insert(BLOCK2, option);
+            let answer = send(&client, &site, request);
+            assert_eq!(answer.code(), CONTENT);
+            bundle.extend(payload(&answer));
+            let option = &answer.msg().opts[&BLOCK2][0].0;
+            let more = option.last().is_some_and(|byte| byte & MORE != 0);
+            let more_bit = if more { u32::from(MORE) } else { 0 };
+            assert_eq!(option, &uint(number << 4 | more_bit | BLOCK_EXPONENT));
+            if !more {
+                break;
+            }
+        }
+        let received =
+            |upstream: &&Upstream| upstream.counters().received.load(Ordering::Relaxed) > 0;
+        (bundle, site.upstreams.iter().filter(received).count())
+    });
+    assert_eq!(bundle.len(), BUNDLE_BYTES);
+    assert_eq!(sources, 1);
+}
+
+/// Guards against a long poll that is answered early, twice, or not at all.
+#[test]
+fn a_long_poll_gets_its_late_answer() {
+    let elapsed = limited(|| {
+        let site = site();
+        wait_until("the site answers", || site.state(0).is_some());
+        let start = Instant::now();
+        let answer = send(&client(), &site, Req::get("long"));
+        assert_eq!(answer.code(), CONTENT);
+        start.elapsed()
+    });
+    assert!(elapsed >= LONG_POLL, "{elapsed:?}");
+}
