Wait for the fabric in the process tests

Cause: a balancer that starts is not ready until it holds the fence, and the emulated fabric delivers to it only after its next check; a test that sends one datagram without retransmission lost it. Ruled out: the planned stop itself, whose log shows no datagram at all.

--- a/crates/skylarkflow/tests/support/site.rs
+++ b/crates/skylarkflow/tests/support/site.rs
@@ -184,6 +184,10 @@
                 })
             })
         });
+        // A balancer that starts is not ready, so the fabric delivers to it only after its next check.
+        wait_until("the fabric delivers to every balancer", || {
+            self.fabric.ready().len() == self.balancers.len()
+        });
     }
 
     /// Writes to the platform.
