Test votes, address holds, tombstones and ties directly

Cause: four rules had no scenario in which their absence shows. Change: tests of config::Store and of the answers that count as votes.

--- /dev/null
+++ b/crates/policy/tests/config_store.rs
@@ -0,0 +1,75 @@
+//! Adoption of objects, independent of how they arrive.
+
+use {
+    skylarkflow_policy::{
+        config::{Pool, Store, Upstream},
+        config_object::Object,
+        config_store::HOLD,
+        id,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+const START: Duration = Duration::from_secs(100);
+
+fn pool(name: &str, generation: u64, upstreams: &[u8]) -> Object {
+    let upstream = |&number: &u8| Upstream {
+        name: format!("u{number}"),
+        address: SocketAddr::from(([10, 1, 0, number], 5683)),
+        zone: "a".to_owned(),
+        weight: 1,
+        drain: false,
+    };
+    Object::from_pool(Pool {
+        name: name.to_owned(),
+        generation,
+        slots: 2,
+        connections: 2_000,
+        upstreams: upstreams.iter().map(upstream).collect(),
+    })
+}
+
+/// Returns whether an upstream gets no new work.
+fn drains(store: &mut Store, now: Duration, pool: &str, at: usize) -> bool {
+    let snapshot = store.snapshot(now);
+    snapshot.pools[&id::from_name(pool)].pool.upstreams[at].drain
+}
+
+/// Guards against work of one service at an upstream that other balancers still use for another service.
+#[test]
+fn moved_address_is_held() {
+    let mut store = Store::default();
+    store.adopt(START, pool("p", 1, &[1, 2]));
+    store.adopt(START, pool("q", 1, &[3]));
+    store.adopt(START, pool("p", 2, &[1]));
+    store.adopt(START, pool("q", 2, &[3, 2]));
+    assert!(drains(&mut store, START, "q", 1));
+    assert!(!drains(&mut store, START, "q", 0));
+    assert_eq!(store.next_release(START), Some(START + HOLD));
+    assert!(!drains(&mut store, START + HOLD, "q", 1));
+}
+
+/// Guards against a deleted object that comes back with an old message, and against a ban on creating it again.
+#[test]
+fn tombstone_outlives_old_generations() {
+    let mut store = Store::default();
+    assert!(store.adopt(START, pool("p", 1, &[1])));
+    assert!(store.adopt(START, Object::deleted("pools/p", 2)));
+    assert!(!store.adopt(START, pool("p", 1, &[1])));
+    assert!(store.snapshot(START).pools.is_empty());
+    assert!(store.adopt(START, pool("p", 3, &[1])));
+    assert_eq!(store.snapshot(START).pools.len(), 1);
+}
+
+/// Guards against balancers that differ for ever after two contents got one generation.
+#[test]
+fn order_of_arrival_does_not_matter() {
+    let (one, other) = (pool("p", 1, &[1]), pool("p", 1, &[2]));
+    let mut stores = [Store::default(), Store::default()];
+    stores[0].adopt(START, one.clone());
+    stores[0].adopt(START, other.clone());
+    stores[1].adopt(START, other);
+    stores[1].adopt(START, one.clone());
+    assert_eq!(stores[0].digests(), stores[1].digests());
+    assert_eq!(stores[0].get(one.id()), stores[1].get(one.id()));
+}
--- /dev/null
+++ b/crates/policy/tests/fence_votes.rs
@@ -0,0 +1,77 @@
+//! Which answers count as votes.
+
+use {
+    skylarkflow_policy::{
+        id,
+        member::{Action, Body, Event, Identity, Machine, Message, Place, Settings, State, Update},
+        quorum::Ballot,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+fn place(number: u8) -> Place {
+    Place {
+        zone: "a".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, number], 7000)),
+    }
+}
+
+fn update(name: &str, state: State) -> Update {
+    Update {
+        id: id::from_name(name),
+        incarnation: 1,
+        state,
+        place: (state == State::Alive).then(|| place(2)),
+    }
+}
+
+/// Lets a member of two answer one probe and returns whether the prober holds.
+fn holds_after_answer(updates: Vec<Update>) -> bool {
+    let (me, peer) = (id::from_name("a1"), id::from_name("a2"));
+    let identity = Identity {
+        id: me,
+        place: place(1),
+        incarnation: 1,
+    };
+    let mut machine = Machine::new(Settings::default(), identity, 1);
+    let mut actions = Vec::new();
+    let mut now = Duration::from_secs(10);
+    let message = |body, updates| Message {
+        from: peer,
+        incarnation: 1,
+        body,
+        updates,
+    };
+    let received = |message| Event::Received {
+        from: place(2).address,
+        message,
+    };
+    machine.handle(now, Event::Tick, &mut actions);
+    let alive = vec![update("a2", State::Alive)];
+    machine.handle(now, received(message(Body::Gossip, alive)), &mut actions);
+    let sequence = loop {
+        now += Duration::from_millis(100);
+        actions.clear();
+        machine.handle(now, Event::Tick, &mut actions);
+        let probe = actions.iter().find_map(|action| match action {
+            Action::Send { message, .. } => match message.body {
+                Body::Ping(sequence, _) => Some(sequence),
+                _ => None,
+            },
+            Action::Changed => None,
+        });
+        if let Some(sequence) = probe {
+            break sequence;
+        }
+    };
+    let ack = Body::Ack(sequence, Ballot::default(), vec![me, peer]);
+    machine.handle(now, received(message(ack, updates)), &mut actions);
+    machine.base().holds(now)
+}
+
+/// Guards against a member that dispatches for flows which its peers have already taken over.
+#[test]
+fn answer_of_a_member_that_takes_this_one_for_dead_is_no_vote() {
+    assert!(holds_after_answer(Vec::new()));
+    assert!(!holds_after_answer(vec![update("a1", State::Dead)]));
+}
