Let a suspicion learnt from a member list expire

Cause: a balancer that first heard of a member as suspect set no deadline and kept it until somebody else's declaration arrived.

--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -288,7 +288,7 @@
             place,
             incarnation: update.incarnation,
             state: update.state,
-            deadline: None,
+            deadline: (update.state == State::Suspect).then(|| now + self.suspicion),
             since: now,
         };
         let changed = before.is_none_or(|before| {
