End the processes of a client test that times out

Cause: a call that hangs kept the site in its own thread, so that four balancer processes outlived the test and held its output open; a run ended only when they were stopped by hand. Change: the site stays with the test's thread; the call gets the address only. Ruled out: a longer limit for a call, since it ends no process. Before: 4 processes left after a timeout of a call. Conclusion: a hanging call fails the test and nothing else.

--- a/crates/skylarkflow/tests/client.rs
+++ b/crates/skylarkflow/tests/client.rs
@@ -7,11 +7,12 @@
 use {
     skylarkflow_emulator::upstream::Upstream,
     std::{
+        net::SocketAddr,
         sync::{atomic::Ordering, mpsc},
         thread,
         time::{Duration, Instant},
     },
-    support::site::{Options, Site, wait_until},
+    support::site::{Options, Site},
     toad::{
         config::Config,
         net::Addrd,
@@ -67,8 +68,8 @@
     Client::try_new("127.0.0.1:0", Config::default()).expect("a socket")
 }
 
-fn send(client: &Client, site: &Site, request: Req<Types>) -> Resp<Types> {
-    let service = site.service.to_string().parse().expect("an address");
+fn send(client: &Client, service: SocketAddr, request: Req<Types>) -> Resp<Types> {
+    let service = service.to_string().parse().expect("an address");
     let answer = client.send_req(&Addrd(request.into(), service));
     answer.expect("an answer").unwrap().into()
 }
@@ -83,7 +84,8 @@
     bytes.into_iter().skip_while(|&byte| byte == 0).collect()
 }
 
-/// Ends the test instead of waiting without end, since the client has no limit for a call.
+/// Ends the test instead of waiting without end, since the client has no limit for a call. The site stays with the
+/// test's own thread, so that its processes end with the test.
 fn limited<T: Send + 'static>(call: impl FnOnce() -> T + Send + 'static) -> T {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || sender.send(call()));
@@ -93,8 +95,10 @@
 /// Guards against answers that only the project's own codec understands.
 #[test]
 fn a_read_is_answered() {
-    let answer = limited(|| {
-        let answer = send(&client(), &site(), Req::get("stops"));
+    let site = site();
+    let service = site.service;
+    let answer = limited(move || {
+        let answer = send(&client(), service, Req::get("stops"));
         (answer.code(), payload(&answer))
     });
     assert_eq!(answer.0, CONTENT);
@@ -105,17 +109,18 @@
 /// after 500 ms.
 #[test]
 fn a_post_runs_once_although_the_client_repeats_itself() {
-    let executed = limited(|| {
-        let site = site();
-        for upstream in &site.upstreams {
-            upstream.adjust(|behaviour| behaviour.service_time = LONG_POLL);
-        }
+    let site = site();
+    let service = site.service;
+    for upstream in &site.upstreams {
+        upstream.adjust(|behaviour| behaviour.service_time = LONG_POLL);
+    }
+    let code = limited(move || {
         let mut request = Req::post("weights");
         request.set_payload("bin 7: 12 kg".bytes());
-        let answer = send(&client(), &site, request);
-        assert_eq!(answer.code(), CREATED);
-        site.executed()
+        send(&client(), service, request).code()
     });
+    assert_eq!(code, CREATED);
+    let executed = site.executed();
     let counts: Vec<(&str, u32)> = executed
         .iter()
         .map(|(key, &count)| (&**key, count))
@@ -126,8 +131,9 @@
 /// Guards against blocks of one transfer that reach several upstreams or get lost.
 #[test]
 fn a_bundle_of_a_megabyte_arrives_in_blocks() {
-    let (bundle, sources) = limited(|| {
-        let site = site();
+    let site = site();
+    let service = site.service;
+    let bundle = limited(move || {
         let client = client();
         let mut bundle = Vec::new();
         for number in 0.. {
@@ -135,7 +141,7 @@
             let option = uint(number << 4 | BLOCK_EXPONENT);
             let option = vec![OptValue(option)];
             request.msg_mut().opts.insert(BLOCK2, option);
-            let answer = send(&client, &site, request);
+            let answer = send(&client, service, request);
             assert_eq!(answer.code(), CONTENT);
             bundle.extend(payload(&answer));
             let option = &answer.msg().opts[&BLOCK2][0].0;
@@ -146,10 +152,10 @@
                 break;
             }
         }
-        let received =
-            |upstream: &&Upstream| upstream.counters().received.load(Ordering::Relaxed) > 0;
-        (bundle, site.upstreams.iter().filter(received).count())
+        bundle
     });
+    let received = |upstream: &&Upstream| upstream.counters().received.load(Ordering::Relaxed) > 0;
+    let sources = site.upstreams.iter().filter(received).count();
     assert_eq!(bundle.len(), BUNDLE_BYTES);
     assert_eq!(sources, 1);
 }
@@ -157,11 +163,11 @@
 /// Guards against a long poll that is answered early, twice, or not at all.
 #[test]
 fn a_long_poll_gets_its_late_answer() {
-    let elapsed = limited(|| {
-        let site = site();
-        wait_until("the site answers", || site.state(0).is_some());
+    let site = site();
+    let service = site.service;
+    let elapsed = limited(move || {
         let start = Instant::now();
-        let answer = send(&client(), &site, Req::get("long"));
+        let answer = send(&client(), service, Req::get("long"));
         assert_eq!(answer.code(), CONTENT);
         start.elapsed()
     });
