--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,8 +47,6 @@
 pub mod swim;
 mod transfer;
 pub mod upstream;
-mod shard;
-mod transfer;
 pub mod vm;
 pub mod zone;
 
