Run the load scenarios in one test per file

Cause: the load test took 38 s, nearly all of the time of the package's tests. A scenario file that is missing fails, which the library alone would pass over.

Ruled out: shorter runs.

--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -126,16 +126,20 @@
 
 /// Shows how much short requests wait for long ones, and that long ones are served.
 fn mixed(setup: &Setup) -> String {
-    for (name, mixed) in [("policy", setup.clone()), ("baseline", baseline(setup))] {
-        let (_, with_long, line) = measure(&mixed);
+    let row = |mixed: Setup| {
         let alone = Setup {
             long_share: 0.0,
-            ..mixed
+            ..mixed.clone()
         };
-        println!(
-            "  {name}: p99 ratio {:.2}; {line}",
-            with_long / measure(&alone).1
-        );
+        let (_, with_long, line) = measure(&mixed);
+        (with_long / measure(&alone).1, line)
+    };
+    let (policy, fifo) = thread::scope(|scope| {
+        let fifo = scope.spawn(|| row(baseline(setup)));
+        (row(setup.clone()), fifo.join().unwrap())
+    });
+    for (name, (ratio, line)) in [("policy", policy), ("baseline", fifo)] {
+        println!("  {name}: p99 ratio {ratio:.2}; {line}");
     }
     String::new()
 }
@@ -305,8 +309,25 @@
 }
 
 #[test]
-fn scenarios() {
-    datadriven::walk("tests/scenarios/load", |file| {
+fn goodput_under_overload() {
+    scenarios("goodput");
+}
+
+#[test]
+fn spread_of_load() {
+    scenarios("spread");
+}
+
+#[test]
+fn faults() {
+    scenarios("faults");
+}
+
+fn scenarios(name: &str) {
+    let file = format!("tests/scenarios/load/{name}.txt");
+    // A missing file would pass.
+    assert!(std::path::Path::new(&file).exists());
+    datadriven::walk(&file, |file| {
         file.run(|case| {
             println!("{} {:?}", case.directive, case.args);
             let setup = setup(case);
