--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -52,6 +52,11 @@
             self.end_job(pool, id, JobResult::Cancelled);
             return self.resubmit(shard, exchange);
         };
+        if self.is_late_for(shard, &exchange) {
+            self.end_job(pool, id, JobResult::Cancelled);
+            self.release(shard, &exchange.key, exchange.stage.upstream);
+            return self.resubmit(shard, exchange);
+        }
         let message_id = self.core.paths().open(address, id);
         let exchange = exchange.dispatch(self.now, address, message_id);
         self.transmit(&exchange);
@@ -67,6 +72,15 @@
         exchange.term != self.history.term() || is_fenced && !is_idempotent
     }
 
+    /// Returns whether the upstream began to drain while the first request of a flow was queued for it.
+    fn is_late_for(&self, shard: &Shard, exchange: &Exchange<Queued>) -> bool {
+        let entry = shard.flows.get(&exchange.key);
+        let is_new = entry.is_some_and(|entry| !entry.established);
+        let pool = self.tables().pools.get(&exchange.route.pool_id());
+        let upstream = pool.and_then(|pool| pool.upstream(exchange.stage.upstream));
+        is_new && upstream.is_some_and(|upstream| upstream.drain)
+    }
+
     fn resubmit(&mut self, shard: &mut Shard, exchange: Exchange<Queued>) {
         let not_before = self.now + RESUBMIT;
         let exchange = exchange.returned(not_before);
--- a/crates/policy/tests/harness/caller.rs
+++ b/crates/policy/tests/harness/caller.rs
@@ -144,7 +144,7 @@
             return;
         };
         let former = self.plain.insert(key, chosen);
-        if former.is_some_and(|former| former != chosen && self.is_in_service(former)) {
+        if former.is_some_and(|former| former != chosen && self.is_in_service(former, &key)) {
             self.plain_broken.insert(key);
         }
     }
--- a/crates/policy/tests/harness/fleet.rs
+++ b/crates/policy/tests/harness/fleet.rs
@@ -71,6 +71,10 @@
     Freeze {
         name: String,
     },
+    Fresh {
+        count: usize,
+        over: Duration,
+    },
 }
 
 /// Time for which a message from a majority holds the fence.
@@ -107,6 +111,7 @@
                     node.tables = usize::MAX;
                 }
             }
+            Step::Fresh { count, over } => self.add_fresh(count, over),
             step => self.edit(step),
         }
     }
@@ -382,8 +387,23 @@
         }
     }
 
+    /// Opens flows one after the other within a period.
+    fn add_fresh(&mut self, count: usize, over: Duration) {
+        self.add_callers(0, 1);
+        if count > 1 {
+            let step = over / count as u32;
+            let over = over - step;
+            let next = Step::Fresh {
+                count: count - 1,
+                over,
+            };
+            self.schedule(self.now + step, Happening::Script(next));
+        }
+    }
+
     pub fn add_callers(&mut self, service: usize, count: usize) {
-        for index in 0..count {
+        for _ in 0..count {
+            let index = self.callers.len();
             let port = 20_000 + index as u16;
             self.add_caller(Key {
                 caller: address(100 + service as u8, index, port),
--- a/crates/policy/tests/harness/upstream.rs
+++ b/crates/policy/tests/harness/upstream.rs
@@ -7,6 +7,7 @@
         VmId,
         balancer::{Action, Event},
         exchange::{Kind, Outcome, Response, Token},
+        flow::Key,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
@@ -22,7 +23,6 @@
     pub down_until: Duration,
     /// New work after this time on a leaving upstream is counted.
     pub leaving_since: Option<Duration>,
-    pub removed: bool,
     busy: usize,
     jobs: BTreeMap<(VmId, u64), Job>,
     seen: BTreeMap<(VmId, u16), u64>,
@@ -47,7 +47,6 @@
             shed: 0.0,
             down_until: Duration::ZERO,
             leaving_since: None,
-            removed: false,
             busy: 0,
             jobs: BTreeMap::new(),
             seen: BTreeMap::new(),
@@ -64,10 +63,16 @@
 }
 
 impl World {
-    pub fn is_in_service(&self, address: SocketAddr) -> bool {
+    /// Returns whether an upstream could still serve the flows of a service.
+    pub fn is_in_service(&self, address: SocketAddr, key: &Key) -> bool {
         let now = self.now;
         let server = self.servers.get(&address);
-        server.is_some_and(|server| !server.removed && server.down_until <= now)
+        let mut routes = self.routes.iter();
+        let route = routes.find(|route| route.address == key.service);
+        server.is_some_and(|server| {
+            let is_member = route.is_some_and(|route| route.pool == server.service);
+            is_member && server.down_until <= now
+        })
     }
 
     pub fn serve(&mut self, to: SocketAddr, from: VmId, action: Action) {
@@ -185,7 +190,7 @@
         let caller = &mut self.callers[request.caller];
         let key = caller.key;
         let former = caller.upstream.replace(at);
-        if former.is_some_and(|former| former != at && self.is_in_service(former)) {
+        if former.is_some_and(|former| former != at && self.is_in_service(former, &key)) {
             if std::env::var_os("TRACE").is_some() {
                 eprintln!("{:?} BROKEN {key:?}", self.now);
             }
--- a/crates/policy/tests/scenario.rs
+++ b/crates/policy/tests/scenario.rs
@@ -114,6 +114,10 @@
             name,
             longest: Duration::from_secs_f64(number("longest")),
         },
+        "fresh" => Step::Fresh {
+            count: number("count") as usize,
+            over: Duration::from_secs_f64(number("over")),
+        },
         "freeze" => Step::Freeze { name },
         other => panic!("unknown step {other}"),
     };
