--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -303,6 +303,10 @@
             address: exchange.stage.address,
             message_id: exchange.stage.message_id,
         });
+        // The request may have run, so the flow may have state at its upstream.
+        if let Some(entry) = shard.flows.get_mut(&exchange.key) {
+            entry.established = true;
+        }
         self.finish_unknown(shard, exchange, Doubt::Deadline);
     }
 
--- a/crates/policy/src/background.rs
+++ b/crates/policy/src/background.rs
@@ -17,7 +17,7 @@
 const SWEEP: Duration = Duration::from_secs(10);
 
 /// Shards that one tick searches for flows to hand over, which bounds its duration.
-const SHARDS_PER_TICK: usize = 8;
+const SHARDS_PER_TICK: usize = 32;
 
 impl Context<'_> {
     /// Does what is due.
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         context::Context,
-        dedupe::{Mark, QUARANTINE},
+        dedupe::{Mark, QUARANTINE, State},
         event::{Drop, Note},
         flow::{Entry, Key, shard_index},
         handover::{Answer, CLAIMS, Class, Message, OUTCOME_HOPS, REPEAT, Record},
@@ -204,10 +204,11 @@
             true => self.now + QUARANTINE,
             false => entry.quarantined_until,
         };
+        let in_flight = marks.iter().any(|mark| mark.state == State::InFlight);
         Record {
             key: *key,
             upstream: entry.upstream,
-            established: entry.established,
+            established: entry.established || in_flight,
             epoch: entry.epoch + 1,
             quarantine: quarantined_until.saturating_sub(self.now),
             marks,
--- a/crates/policy/tests/harness/mod.rs
+++ b/crates/policy/tests/harness/mod.rs
@@ -159,7 +159,7 @@
     pub stop_at: Duration,
     queue: BinaryHeap<Queued>,
     sequence: u64,
-    seed: u64,
+    pub seed: u64,
     pub incarnations: u64,
 }
 
--- a/crates/policy/tests/harness/upstream.rs
+++ b/crates/policy/tests/harness/upstream.rs
@@ -192,7 +192,7 @@
         let former = caller.upstream.replace(at);
         if former.is_some_and(|former| former != at && self.is_in_service(former, &key)) {
             if std::env::var_os("TRACE").is_some() {
-                eprintln!("{:?} BROKEN {key:?}", self.now);
+                eprintln!("{:?} BROKEN {key:?} seed {}", self.now, self.seed);
             }
             self.broken.insert(key);
         }
