Wait in process tests until the fabric delivers to every balancer

Cause: a_second_signal_ends_the_process_at_once failed once in a full run with "not within 20s: the request runs". It sends one datagram without retransmission; the fabric had taken the starting balancer out after two failed readiness checks and takes it back only at its next check, up to 200 ms after the balancer serves.

--- a/crates/skylarkflow/tests/support/site.rs
+++ b/crates/skylarkflow/tests/support/site.rs
@@ -67,6 +67,10 @@
     pub fn start(options: &Options) -> Site {
         let site = Site::start_unchecked(options);
         site.wait_until_serving(options.zones.len());
+        // The fabric takes a balancer back at its next check after it has become ready.
+        wait_until("the fabric delivers to every balancer", || {
+            site.fabric.ready().len() == options.zones.len()
+        });
         site
     }
 
