Restart balancers under their old name in the seeded runs

Cause: no run covered a balancer that restarts before the others notice, so its view stays as it was and its flows are lost.

--- a/crates/policy/tests/harness/fleet.rs
+++ b/crates/policy/tests/harness/fleet.rs
@@ -71,6 +71,10 @@
     Freeze {
         name: String,
     },
+    /// Restarts a balancer under its old name before the others notice.
+    Reboot {
+        name: String,
+    },
     Fresh {
         count: usize,
         over: Duration,
@@ -111,6 +115,13 @@
                     node.tables = usize::MAX;
                 }
             }
+            Step::Reboot { name } => {
+                let id = id::from_name(&name);
+                let zone = self.nodes[&id].member.zone.clone();
+                self.members.retain(|member| member.id != id);
+                self.fabric.retain(|&one| one != id);
+                self.join(&name, &zone);
+            }
             Step::Fresh { count, over } => self.add_fresh(count, over),
             step => self.edit(step),
         }
@@ -127,7 +138,7 @@
             let upstream = format!("u{}", self.rng.random_range(0..self.servers.len()));
             let period = Duration::from_secs(30);
             let longest = Duration::from_secs(self.rng.random_range(1..12));
-            let step = match self.rng.random_range(0..9) {
+            let step = match self.rng.random_range(0..10) {
                 0 | 1 if is_spare => Step::Crash {
                     name: balancers.remove(victim),
                 },
@@ -154,6 +165,9 @@
                     pool: "dispatch".to_owned(),
                     count: 1,
                 },
+                9 if is_spare => Step::Reboot {
+                    name: balancers.remove(victim),
+                },
                 8 => Step::Shed {
                     name: upstream,
                     share: 0.5,
