Test the acting owner of an unreachable home zone

The test fails without the check of the acting entry (at the first POST) and without the quarantine at the end of acting (at the first POST after the confirmation).

--- /dev/null
+++ b/crates/policy/tests/acting.rs
@@ -0,0 +1,109 @@
+//! The acting owner of a flow whose home zone cannot be reached.
+
+use {
+    skylarkflow_policy::{
+        balancer::{Action, Core, Event},
+        config::{Pool, Route, Snapshot, Upstream},
+        dedupe::QUARANTINE,
+        dispatch::Fifo,
+        exchange::{Body, Effect, Kind, Request, Token},
+        flow::Key,
+        owner::{Decision, Member, View},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+const OWN: u64 = 7;
+
+fn tables() -> Arc<Snapshot> {
+    let route = Route {
+        name: "dispatch".to_owned(),
+        generation: 1,
+        address: "10.8.0.1:5683".parse().unwrap(),
+        pool: "dispatch".to_owned(),
+        deadline: Duration::from_secs(10),
+    };
+    let upstream = Upstream {
+        name: "u0".to_owned(),
+        address: "10.7.0.1:5683".parse().unwrap(),
+        zone: "z1".to_owned(),
+        weight: 1,
+        drain: false,
+    };
+    let pool = Pool {
+        name: "dispatch".to_owned(),
+        generation: 1,
+        slots: 2,
+        connections: 100,
+        upstreams: vec![upstream],
+    };
+    Arc::new(Snapshot::new(vec![route], vec![pool]))
+}
+
+fn view(zones: &[&'static str]) -> View {
+    let member = Member {
+        id: OWN,
+        zone: "z1".to_owned(),
+        address: "10.6.0.1:7400".parse().unwrap(),
+    };
+    View::new(zones.iter().copied(), &[member])
+}
+
+/// Returns a flow whose home zone is `z0`.
+fn foreign_flow(view: &View) -> Key {
+    let flows = (1_024..2_048).map(|port| Key {
+        caller: format!("10.1.0.1:{port}").parse().unwrap(),
+        service: "10.8.0.1:5683".parse().unwrap(),
+    });
+    let mut flows = flows.filter(|key| view.decide(key.hash()) == Decision::Acting(OWN));
+    flows.next().unwrap()
+}
+
+/// Returns whether a request is dispatched; otherwise its outcome must be unknown.
+fn is_dispatched(core: &Core, now: Duration, key: Key, message_id: u16, effect: Effect) -> bool {
+    let request = Request {
+        kind: Kind::Confirmable,
+        message_id,
+        token: Token::from(u64::from(message_id)),
+        effect,
+        class: 0,
+        bytes: Vec::new(),
+    };
+    let fabric = "10.9.0.1:7000".parse().unwrap();
+    let event = Event::Request {
+        fabric,
+        key,
+        request,
+    };
+    let mut actions = Vec::new();
+    core.handle(now, event, &mut actions);
+    let is_unknown =
+        |one: &Action| matches!(one, Action::Reply { reply, .. } if reply.body == Body::Unknown);
+    let is_dispatch = |one: &Action| matches!(one, Action::Dispatch { .. });
+    let dispatched = actions.iter().any(is_dispatch);
+    assert_ne!(dispatched, actions.iter().any(is_unknown), "{actions:?}");
+    dispatched
+}
+
+/// Guards against a second run on the other side of a partition between zones.
+#[test]
+fn acting_owner_serves_only_idempotent_requests() {
+    let core = Core::new(OWN, 1, Fifo::factory());
+    let start = Duration::from_secs(1_000);
+    core.set_tables(start, tables());
+    // Without a lapse of the fence the entry alone decides.
+    core.set_fence(start, start + 10 * QUARANTINE);
+    let partitioned = view(&["z0", "z1"]);
+    let key = foreign_flow(&partitioned);
+    core.set_view(start, partitioned);
+    let post = |now, id| is_dispatched(&core, now, key, id, Effect::NonIdempotent);
+    assert!(is_dispatched(&core, start, key, 1, Effect::Idempotent));
+    assert!(!post(start, 2));
+    assert!(!post(start + 2 * QUARANTINE, 3));
+
+    let gone = start + 3 * QUARANTINE;
+    core.set_view(gone, view(&["z1"]));
+    assert!(!post(gone, 4), "the home zone may have served it until now");
+    assert!(!post(gone + QUARANTINE - Duration::from_millis(1), 5));
+    assert!(post(gone + QUARANTINE, 6));
+}
