Run a whole deployment from the examples

Cause: the README showed no way to run real processes that a newcomer can copy: the VM list, the upstreams and callers had to be set up by hand. Ruled out: a script beside the examples, which would hide the commands.

--- a/crates/skylarkflow/src/demo_report.rs
+++ b/crates/skylarkflow/src/demo_report.rs
@@ -67,6 +67,7 @@
         let millis = |quantile| total.latency.value_at_quantile(quantile) as f64 / 1e3;
         println!("service {}", self.name);
         println!("  requests served      {:>8}", total.answered);
+        println!("  flows that moved     {:>8}", self.report.moved);
         println!("  refused, did not run {:>8}", total.refused);
         println!("  outcome unknown      {:>8}", total.unknown);
         println!("  retransmissions      {:>8}", total.retransmissions);
--- a/crates/skylarkflow/src/emulate.rs
+++ b/crates/skylarkflow/src/emulate.rs
@@ -1,7 +1,7 @@
 //! Emulated peers as processes of their own, for trials and tests.
 
 use {
-    crate::command::Result,
+    crate::{command::Result, emulate_callers::Callers, emulate_site::Site},
     argh::FromArgs,
     serde_json::json,
     skylarkflow_emulator::{
@@ -24,8 +24,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Peer {
+    Callers(Callers),
     Fabric(FabricPeer),
     Platform(PlatformPeer),
+    Site(Site),
     Upstream(UpstreamPeer),
 }
 
@@ -78,8 +80,10 @@
     /// Runs the emulated peer.
     pub fn run(self) -> Result {
         match self.peer {
+            Peer::Callers(callers) => callers.run(),
             Peer::Fabric(peer) => peer.run(),
             Peer::Platform(peer) => peer.run(),
+            Peer::Site(site) => site.run(),
             Peer::Upstream(peer) => peer.run(),
         }
     }
@@ -133,7 +137,8 @@
     }
 }
 
-fn wait() -> Result {
+/// Waits until the process is stopped.
+pub fn wait() -> Result {
     loop {
         thread::park();
     }
--- /dev/null
+++ b/crates/skylarkflow/src/emulate_callers.rs
@@ -0,0 +1,75 @@
+//! The load generator as a process.
+
+use {
+    crate::command::Result,
+    argh::FromArgs,
+    coap_lite::RequestType,
+    skylarkflow_emulator::load::{Kind, Load, Settings},
+    std::{net::SocketAddr, thread, time::Duration},
+};
+
+/// Send reads and posts to a service for some time and print how they ended.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "callers")]
+pub struct Callers {
+    /// address of the service
+    #[argh(option)]
+    service: SocketAddr,
+    /// flows, each with one request at a time
+    #[argh(option, default = "100")]
+    flows: usize,
+    /// requests a second over all flows
+    #[argh(option, default = "100.0")]
+    rate: f64,
+    /// seconds of arrivals
+    #[argh(option, default = "5")]
+    seconds: u64,
+    /// seed of arrivals, kinds and flows
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+impl Callers {
+    /// Runs the load and prints the report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket or thread can be had.
+    pub fn run(self) -> Result {
+        let post = Kind {
+            name: "post",
+            method: RequestType::Post,
+            path: "weights".to_owned(),
+            ..Kind::default()
+        };
+        let load = Load::start(Settings {
+            service: self.service,
+            flows: self.flows,
+            rate: self.rate,
+            mix: vec![Kind::default(), post],
+            seed: self.seed,
+            ..Settings::default()
+        })?;
+        thread::sleep(Duration::from_secs(self.seconds));
+        let report = load.finish();
+        println!("kind    arrived answered refused unknown   lost   median ms     99 % ms");
+        for (name, tally) in &report.kinds {
+            let millis = |quantile| tally.latency.value_at_quantile(quantile) as f64 / 1e3;
+            println!(
+                "{name:<7} {:>7} {:>8} {:>7} {:>7} {:>6} {:>11.1} {:>11.1}",
+                tally.arrived,
+                tally.answered,
+                tally.refused,
+                tally.unknown,
+                tally.lost,
+                millis(0.5),
+                millis(0.99)
+            );
+        }
+        println!(
+            "flows that were answered by another upstream than before: {}",
+            report.moved
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/emulate_site.rs
@@ -0,0 +1,119 @@
+//! Everything around the balancers of a deployment in one process.
+
+use {
+    crate::{
+        command::{Failure, Result},
+        emulate, settings, tables,
+    },
+    argh::FromArgs,
+    serde_json::json,
+    skylarkflow_emulator::{
+        fabric::{self, Fabric, Target},
+        platform::Platform,
+        upstream::{self, Behaviour, Upstream},
+    },
+    skylarkflow_platform::wire,
+    skylarkflow_policy::vm::{Record, Role, State},
+    std::{io, net::SocketAddr, path::PathBuf, time::Duration},
+    tokio::runtime::Runtime,
+};
+
+/// Serve the platform, the fabric and all upstreams of two tables, for the balancers of the given settings.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "site")]
+pub struct Site {
+    /// address of the platform's HTTP API
+    #[argh(option)]
+    platform: SocketAddr,
+    /// path of the table of routes
+    #[argh(option)]
+    routes: PathBuf,
+    /// path of the table of pools
+    #[argh(option)]
+    pools: PathBuf,
+    /// milliseconds that a request takes at an upstream
+    #[argh(option, default = "5")]
+    service_time_ms: u64,
+    /// settings of the balancers
+    #[argh(positional)]
+    settings: Vec<PathBuf>,
+}
+
+impl Site {
+    /// Runs until the process is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be used or an address cannot be bound.
+    pub fn run(self) -> Result {
+        let tables = tables::read(&self.routes, &self.pools).map_err(|findings| {
+            tables::print(&findings);
+            Failure::from(io::Error::from(io::ErrorKind::InvalidInput))
+        })?;
+        let settings = self.settings.iter().map(|path| settings::from_path(path));
+        let settings: Vec<settings::Settings> = settings
+            .collect::<std::result::Result<_, _>>()
+            .map_err(Failure::usage)?;
+        let runtime = Runtime::new()?;
+        let platform = Platform::default();
+        let address = runtime.block_on(platform.serve(self.platform))?;
+        settings
+            .iter()
+            .map(record)
+            .for_each(|vm| platform.set_vm(vm));
+        let upstreams = self.start_upstreams(&tables.pools)?;
+        let fabric = Fabric::start(fabric::Settings {
+            services: tables.routes.iter().map(|route| route.address).collect(),
+            balancers: settings.iter().map(target).collect(),
+            ..fabric::Settings::default()
+        })?;
+        let count = upstreams.len();
+        let services = fabric.services();
+        println!(
+            "{}",
+            json!({ "platform": address, "services": services, "upstreams": count })
+        );
+        emulate::wait()
+    }
+
+    fn start_upstreams(&self, pools: &[wire::Pool]) -> io::Result<Vec<Upstream>> {
+        let mut upstreams = Vec::new();
+        for pool in pools {
+            for row in &pool.upstreams {
+                upstreams.push(self.start_upstream(pool, row)?);
+            }
+        }
+        Ok(upstreams)
+    }
+
+    fn start_upstream(&self, pool: &wire::Pool, row: &wire::Upstream) -> io::Result<Upstream> {
+        Upstream::start(upstream::Settings {
+            address: row.address,
+            name: row.name.clone(),
+            service: pool.name.clone(),
+            slots: pool.slots as usize,
+            behaviour: Behaviour {
+                service_time: Duration::from_millis(self.service_time_ms),
+                ..Behaviour::default()
+            },
+            ..upstream::Settings::default()
+        })
+    }
+}
+
+fn record(settings: &settings::Settings) -> Record {
+    Record {
+        name: settings.name.clone(),
+        address: settings.peer,
+        zone: settings.zone.clone(),
+        role: Role::Entry,
+        state: State::Live,
+    }
+}
+
+fn target(settings: &settings::Settings) -> Target {
+    Target {
+        ingress: settings.ingress,
+        admin: Some(settings.admin.address),
+    }
+}
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -25,6 +25,8 @@
 mod demo_site;
 mod drain;
 pub mod emulate;
+mod emulate_callers;
+mod emulate_site;
 pub mod event;
 mod figure;
 mod ingress;
