End a planned stop when no balancer is left to take the flows

Cause: when a whole deployment stops, the last balancers waited for the limit of the planned stop, since nobody could take their flows. Change: a leaving balancer without members in its view is drained once no request is in flight. Ruled out: dropping the flows at the start of the stop, which would break them if another balancer joins in time.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -268,15 +268,20 @@
         self.is_leaving.store(true, Ordering::Release);
     }
 
-    /// Returns whether a planned leave is over: every flow is handed over and no request is in flight.
+    /// Returns whether a planned leave is over: no request is in flight and every flow is handed over, or no balancer is
+    /// left to take them, as when a whole deployment stops.
     pub fn is_drained(&self) -> bool {
+        let history = self.history();
+        let view = history.current();
+        let is_alone = view.members().is_empty();
         let is_empty = |index| {
             let shard = self.shards.lock(index);
-            shard.live.is_empty() && shard.flows.is_empty() && shard.claims.is_empty()
+            let has_no_flows = is_alone || shard.flows.is_empty();
+            shard.live.is_empty() && shard.claims.is_empty() && has_no_flows
         };
         self.is_leaving.load(Ordering::Acquire)
-            && !self.history().current().is_member(self.id)
-            && self.machine().is_idle()
+            && !view.is_member(self.id)
+            && (is_alone || self.machine().is_idle())
             && (0..SHARDS).all(is_empty)
     }
 
--- a/crates/policy/tests/acting.rs
+++ b/crates/policy/tests/acting.rs
@@ -1,4 +1,4 @@
-//! The acting owner of a flow whose home zone cannot be reached.
+//! One balancer by itself: the acting owner of a flow whose home zone cannot be reached, and the last one to leave.
 
 use {
     skylarkflow_policy::{
@@ -107,3 +107,25 @@
     assert!(!post(gone + QUARANTINE - Duration::from_millis(1), 5));
     assert!(post(gone + QUARANTINE, 6));
 }
+
+/// Guards against a planned stop of a whole deployment that waits for its limit, since nobody can take the flows.
+#[test]
+fn the_last_balancer_leaves_once_its_requests_have_finished() {
+    let core = Core::new(OWN, 1, Fifo::factory());
+    let start = Duration::from_secs(1_000);
+    core.set_tables(start, tables());
+    core.set_fence(start, start + 10 * QUARANTINE);
+    core.set_view(start, view(&["z1"]));
+    let key = Key {
+        caller: "10.1.0.1:1024".parse().unwrap(),
+        service: "10.8.0.1:5683".parse().unwrap(),
+    };
+    assert!(is_dispatched(&core, start, key, 1, Effect::Idempotent));
+    core.leave(start);
+    core.set_view(start, View::new(["z1"], &[]));
+    assert!(!core.is_drained(), "a request is in flight");
+    let late = start + Duration::from_secs(11);
+    core.handle(late, Event::Tick, &mut Vec::new());
+    assert!(core.is_drained());
+    assert_eq!(core.flows(), 1);
+}
