Show flows, requests in flight and waiting requests of each upstream

Cause: the state of a balancer showed every upstream as up and idle, whatever it held.

dispatch::Dispatcher::occupancy and Core::occupancy give the numbers; Fifo keeps the default of zero. The gauge of requests in flight, which was never set, is their sum. Ruled out: counting dispatches and replies outside of the decisions, which drifts with every retry and cancellation.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -5,11 +5,11 @@
         config::Snapshot,
         context::Context,
         dedupe::Limit,
-        dispatch::{Dispatcher, Factory, JobId},
+        dispatch::{Dispatcher, Factory, JobId, Occupancy},
         flow::{Key, SHARDS, Shards, shard_index},
         handover::{Digest, Machine},
         history::History,
-        id::{Incarnation, Map, PoolId, VmId},
+        id::{Incarnation, Map, PoolId, UpstreamId, VmId},
         owner::{Decision, View},
         shard::Shard,
     },
@@ -291,6 +291,15 @@
         self.config().tables.clone()
     }
 
+    /// Returns what this balancer has at an upstream, and whether the upstream may serve established flows.
+    pub fn occupancy(&self, pool: PoolId, upstream: UpstreamId) -> (Occupancy, bool) {
+        let Some(pool) = self.pool(pool) else {
+            return (Occupancy::default(), false);
+        };
+        let pool = pool.lock();
+        (pool.occupancy(upstream), pool.is_usable(upstream))
+    }
+
     /// Decides where a datagram of a flow is handled.
     pub fn route(&self, key: &Key) -> Step {
         if !self.config().tables.routes.contains_key(&key.service) {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -76,6 +76,17 @@
     pub exception: bool,
 }
 
+/// What one balancer has at an upstream, for operators.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Occupancy {
+    /// Flows.
+    pub flows: u64,
+    /// Requests in flight.
+    pub in_flight: u64,
+    /// Requests that wait.
+    pub queued: u64,
+}
+
 /// Slots, queues and placement of one pool.
 ///
 /// [`balancer::Core`](crate::balancer::Core) calls it under a lock of its own. A verdict may name any job of the pool.
@@ -115,6 +126,11 @@
     /// Sets the number of balancers that send to the upstreams of this pool.
     fn set_balancers(&mut self, _balancers: u32) {}
 
+    /// Returns what this balancer has at an upstream.
+    fn occupancy(&self, _upstream: UpstreamId) -> Occupancy {
+        Occupancy::default()
+    }
+
     /// Returns whether an upstream may serve an established flow; false if it is down or removed.
     fn is_usable(&self, upstream: UpstreamId) -> bool;
 }
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -8,7 +8,7 @@
         admission::{self, End, Range},
         class::{self, Estimator, Kind},
         config::Resolved,
-        dispatch::{self, Job, JobId, JobResult, Placement, Verdict},
+        dispatch::{self, Job, JobId, JobResult, Occupancy, Placement, Verdict},
         exchange::Effect,
         flow::Hash,
         health::{self, Change, Monitor},
@@ -563,6 +563,18 @@
         Dispatcher::set_balancers(self, balancers);
     }
 
+    fn occupancy(&self, upstream: UpstreamId) -> Occupancy {
+        let occupancy = |upstream: &Upstream| Occupancy {
+            flows: upstream.flows.into(),
+            in_flight: upstream.in_flight().into(),
+            queued: upstream.waiting() as u64,
+        };
+        self.upstreams
+            .get(&upstream)
+            .map(occupancy)
+            .unwrap_or_default()
+    }
+
     fn is_usable(&self, upstream: UpstreamId) -> bool {
         self.can_serve(upstream)
     }
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -63,6 +63,11 @@
         self.is_drained || self.is_marked || self.weight == 0
     }
 
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.lanes.iter().map(Lane::in_flight).sum()
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.lanes.iter().map(Lane::waiting).sum()
--- a/crates/skylarkflow/src/state.rs
+++ b/crates/skylarkflow/src/state.rs
@@ -6,7 +6,10 @@
         metrics::Gauge,
     },
     skylarkflow_operator::wire,
-    skylarkflow_policy::config::{self, Resolved},
+    skylarkflow_policy::{
+        config::{self, Resolved},
+        id,
+    },
     std::time::Duration,
 };
 
@@ -14,7 +17,11 @@
 pub fn of(context: &Context) -> wire::State {
     let tables = context.core.tables();
     let mut routes: Vec<wire::Route> = tables.routes.values().map(|one| route(one)).collect();
-    let mut pools: Vec<wire::Pool> = tables.pools.values().map(|one| pool(one)).collect();
+    let mut pools: Vec<wire::Pool> = tables
+        .pools
+        .values()
+        .map(|one| pool(context, one))
+        .collect();
     routes.sort_by(|a, b| a.name.cmp(&b.name));
     pools.sort_by(|a, b| a.name.cmp(&b.name));
     wire::State {
@@ -62,28 +69,31 @@
     }
 }
 
-fn pool(resolved: &Resolved) -> wire::Pool {
+fn pool(context: &Context, resolved: &Resolved) -> wire::Pool {
     let pool = &resolved.pool;
+    let one = |it: &config::Upstream| upstream(context, &pool.name, it);
     wire::Pool {
         name: pool.name.clone(),
         generation: pool.generation,
         slots: pool.slots,
         connections: pool.connections,
-        upstreams: pool.upstreams.iter().map(upstream).collect(),
+        upstreams: pool.upstreams.iter().map(one).collect(),
     }
 }
 
-fn upstream(upstream: &config::Upstream) -> wire::Upstream {
+fn upstream(context: &Context, pool: &str, upstream: &config::Upstream) -> wire::Upstream {
+    let id = id::from_upstream(pool, &upstream.name);
+    let (occupancy, up) = context.core.occupancy(id::from_name(pool), id);
     wire::Upstream {
         name: upstream.name.clone(),
         address: upstream.address,
         zone: upstream.zone.clone(),
         weight: upstream.weight,
         draining: upstream.drain,
-        up: true,
-        flows: 0,
-        in_flight: 0,
-        queued: 0,
+        up,
+        flows: occupancy.flows,
+        in_flight: occupancy.in_flight,
+        queued: occupancy.queued,
     }
 }
 
--- a/crates/skylarkflow/src/timer.rs
+++ b/crates/skylarkflow/src/timer.rs
@@ -8,7 +8,7 @@
         perform::{self, Scratch},
     },
     skylarkflow_operator::wire::Phase,
-    skylarkflow_policy::balancer::Event,
+    skylarkflow_policy::{balancer::Event, config::Snapshot},
     std::{thread, time::Duration},
 };
 
@@ -41,6 +41,7 @@
     let is_ready = context.drain().phase == Phase::Serving;
     metrics.set(Gauge::Ready, u64::from(is_ready));
     metrics.set(Gauge::Flows, context.core.flows() as u64);
+    metrics.set(Gauge::InFlight, in_flight(context, &tables));
     metrics.set(Gauge::Routes, tables.routes.len() as u64);
     metrics.set(Gauge::Pools, tables.pools.len() as u64);
     let lost = logs::lost();
@@ -53,6 +54,15 @@
     lost
 }
 
+fn in_flight(context: &Context, tables: &Snapshot) -> u64 {
+    let pools = tables.pools.iter();
+    let upstreams = pools.flat_map(|(&pool, resolved)| {
+        let ids = resolved.positions.keys();
+        ids.map(move |&upstream| context.core.occupancy(pool, upstream).0)
+    });
+    upstreams.map(|occupancy| occupancy.in_flight).sum()
+}
+
 fn watch_drain(context: &Context, now: Duration) {
     let Some(since) = context.drain().since else {
         return;
--- a/crates/skylarkflow/tests/admin.rs
+++ b/crates/skylarkflow/tests/admin.rs
@@ -3,9 +3,15 @@
 mod support;
 
 use {
+    coap_lite::RequestType,
     reqwest::{Method, StatusCode},
-    skylarkflow_operator::wire::{Drain, Phase, Ready, State},
-    support::site::{Options, SERVICE, Site, wait_until},
+    skylarkflow_emulator::caller::Caller,
+    skylarkflow_operator::wire::{Drain, Phase, Ready, State, Upstream},
+    std::{thread, time::Duration},
+    support::{
+        LIMIT,
+        site::{Options, SERVICE, Site, wait_until},
+    },
 };
 
 const TOKEN: &str = "5f0c7a";
@@ -45,6 +51,34 @@
     assert_eq!(state.drain.phase, Phase::Serving);
 }
 
+/// Guards against an operator who sees an idle upstream while flows and requests hold it.
+#[test]
+fn the_state_shows_flows_and_requests_in_flight() {
+    let site = one("");
+    let sum = |count: fn(&Upstream) -> u64| {
+        let state = site.state(0).expect("a state");
+        state.pools[0].upstreams.iter().map(count).sum::<u64>()
+    };
+    assert!(
+        site.state(0).expect("a state").pools[0]
+            .upstreams
+            .iter()
+            .all(|one| one.up)
+    );
+    assert_eq!(sum(|one| one.flows), 0);
+    for upstream in &site.upstreams {
+        upstream.adjust(|behaviour| behaviour.service_time = Duration::from_secs(3));
+    }
+    let mut caller = Caller::new(site.service).expect("a socket");
+    let request = thread::spawn(move || caller.request(RequestType::Get, "stops", LIMIT));
+    wait_until("the request is in flight", || {
+        sum(|one| one.flows) == 1 && sum(|one| one.in_flight) == 1
+    });
+    request.join().expect("the caller ends").expect("an answer");
+    wait_until("the request has ended", || sum(|one| one.in_flight) == 0);
+    assert_eq!(sum(|one| one.flows), 1);
+}
+
 /// Guards against a fabric that goes on delivering to a balancer that drains, because it still looks ready.
 #[test]
 fn readiness_ends_with_the_start_of_a_drain() {
