--- a/crates/policy/src/swim.rs
+++ b/crates/policy/src/swim.rs
@@ -29,7 +29,7 @@
 /// members serves idempotent requests.
 const JOIN_LIMIT: Duration = Duration::from_secs(10);
 
-/// Time after the start in which members that are new to this balancer are not news.
+/// Time after the first contact in which members that are new to this balancer are not news.
 const QUIET: Duration = Duration::from_secs(5);
 
 /// Shortest time between two acknowledgements that carry the voters.
@@ -165,6 +165,9 @@
         if self.me().state == State::Left {
             return;
         }
+        if self.peers().next().is_none() {
+            self.roster.set_quiet_until(now + QUIET);
+        }
         self.check_probes(now, actions);
         let mut changed = self.roster.expire(now);
         changed |= self.check_zones(now);
@@ -178,7 +181,6 @@
 
     fn start(&mut self, now: Duration) {
         self.timers.started = Some(now);
-        self.roster.set_quiet_until(now + QUIET);
         let mut phase = |interval: Duration| now + interval.mul_f64(self.rng.random::<f64>());
         self.timers.probe = phase(self.settings.probe_interval);
         self.timers.gossip = phase(self.settings.gossip_interval);
@@ -442,14 +444,22 @@
     }
 
     /// Lets this balancer own flows once it holds the fence, since it would refuse their requests before.
+    ///
+    /// A zone that is too large for the fence has nothing to wait for.
     fn activate(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let started = self.timers.started.unwrap_or(now);
         let is_late = now >= started + JOIN_LIMIT;
-        if self.me().state == State::Joining && (is_late || self.base.holds(now)) {
+        let may_own = is_late || self.base.holds(now) || self.is_large();
+        if self.me().state == State::Joining && may_own {
             self.announce(now, State::Alive, actions);
         }
     }
 
+    fn is_large(&self) -> bool {
+        let zone = self.live().filter(|it| it.place.zone == self.zone);
+        zone.count() > self.settings.fence_members
+    }
+
     /// Returns whether the VM list once named a VM and no longer does, while it names this balancer.
     pub fn is_unlisted(&self, id: VmId) -> bool {
         let names = |id: VmId| self.listed_ids.contains(&id);
@@ -548,6 +558,15 @@
         others.map(|member| (member.id, member.place.address))
     }
 
+    /// Returns the other live members of the zone.
+    pub(crate) fn zone_peers(&self) -> Vec<(VmId, SocketAddr)> {
+        let me = self.me().id;
+        let others = self
+            .live()
+            .filter(|it| it.id != me && it.place.zone == self.zone);
+        others.map(|it| (it.id, it.place.address)).collect()
+    }
+
     pub(crate) fn address(&self, id: VmId) -> Option<SocketAddr> {
         Some(self.roster.get(id)?.place.address)
     }
--- a/crates/policy/tests/harness/fleet.rs
+++ b/crates/policy/tests/harness/fleet.rs
@@ -71,6 +71,14 @@
     Freeze {
         name: String,
     },
+    /// Restarts a balancer under its old name before the others notice.
+    Reboot {
+        name: String,
+    },
+    Fresh {
+        count: usize,
+        over: Duration,
+    },
 }
 
 /// Time for which a message from a majority holds the fence.
@@ -107,6 +115,14 @@
                     node.tables = usize::MAX;
                 }
             }
+            Step::Reboot { name } => {
+                let id = id::from_name(&name);
+                let zone = self.nodes[&id].member.zone.clone();
+                self.members.retain(|member| member.id != id);
+                self.fabric.retain(|&one| one != id);
+                self.join(&name, &zone);
+            }
+            Step::Fresh { count, over } => self.add_fresh(count, over),
             step => self.edit(step),
         }
     }
@@ -122,7 +138,7 @@
             let upstream = format!("u{}", self.rng.random_range(0..self.servers.len()));
             let period = Duration::from_secs(30);
             let longest = Duration::from_secs(self.rng.random_range(1..12));
-            let step = match self.rng.random_range(0..9) {
+            let step = match self.rng.random_range(0..10) {
                 0 | 1 if is_spare => Step::Crash {
                     name: balancers.remove(victim),
                 },
@@ -149,6 +165,9 @@
                     pool: "dispatch".to_owned(),
                     count: 1,
                 },
+                9 if is_spare => Step::Reboot {
+                    name: balancers.remove(victim),
+                },
                 8 => Step::Shed {
                     name: upstream,
                     share: 0.5,
@@ -382,8 +401,23 @@
         }
     }
 
+    /// Opens flows one after the other within a period.
+    fn add_fresh(&mut self, count: usize, over: Duration) {
+        self.add_callers(0, 1);
+        if count > 1 {
+            let step = over / count as u32;
+            let over = over - step;
+            let next = Step::Fresh {
+                count: count - 1,
+                over,
+            };
+            self.schedule(self.now + step, Happening::Script(next));
+        }
+    }
+
     pub fn add_callers(&mut self, service: usize, count: usize) {
-        for index in 0..count {
+        for _ in 0..count {
+            let index = self.callers.len();
             let port = 20_000 + index as u16;
             self.add_caller(Key {
                 caller: address(100 + service as u8, index, port),
