Measure the control state machine of one balancer against members

Cause: the cost of membership and relay was measured in bytes at 880 members of one zone only; memory and CPU time of one balancer, and 6 zones, were not.

`skylarkflow bench control` runs one node::Node whose peers mirror what it sends (9 to 5,300 members) and, at 9, 90 and 880 members, all nodes in one network. Ruled out: all nodes at 5,300, whose member lists and VM lists take over 5 MB at each of 5,300 nodes.

--- a/crates/skylarkflow/src/bench.rs
+++ b/crates/skylarkflow/src/bench.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        bench_datagrams, bench_decisions, bench_steps, bench_tables,
+        bench_control, bench_datagrams, bench_decisions, bench_steps, bench_tables,
         command::Result,
         figure::{self, Figure},
         measure::Report,
@@ -29,12 +29,18 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Subject {
+    Control(Control),
     Datagrams(Datagrams),
     Decisions(Decisions),
     Steps(Steps),
     Tables(Tables),
 }
 
+/// Measure the control state machines against the number of members, objects and zones.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "control")]
+struct Control {}
+
 /// Measure datagrams a second through ingress and owner against a bare relay with as many threads.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "datagrams")]
@@ -73,10 +79,11 @@
     /// Fails if a balancer cannot start or the file cannot be written.
     pub fn run(self) -> Result {
         let figures = match self.subject {
+            Subject::Control(Control {}) => return self.run_series(bench_control::run),
             Subject::Datagrams(datagrams) => datagrams.measure()?,
             Subject::Decisions(Decisions {}) => bench_decisions::measure(),
             Subject::Steps(Steps {}) => bench_steps::measure(),
-            Subject::Tables(Tables {}) => return self.run_tables(),
+            Subject::Tables(Tables {}) => return self.run_series(bench_tables::run),
         };
         figure::print(&figures);
         match &self.json {
@@ -85,9 +92,9 @@
         }
     }
 
-    fn run_tables(&self) -> Result {
+    fn run_series(&self, measure: fn(&mut Report)) -> Result {
         let mut report = Report::default();
-        bench_tables::run(&mut report);
+        measure(&mut report);
         if let Some(path) = &self.json {
             report.save(path)?;
         }
--- /dev/null
+++ b/crates/skylarkflow/src/bench_control.rs
@@ -0,0 +1,128 @@
+//! Cost of the control state machine of one balancer, against the number of members.
+
+use {
+    crate::{
+        bench_fleet::{self, Mirror, ranks},
+        measure::{self, Report, Series},
+    },
+    std::time::Duration,
+};
+
+/// Members in 6 zones: today, a tenth of the target, the target of a zone, the size in two years.
+const MEMBERS: [usize; 4] = [9, 90, 880, 5_300];
+
+/// State machines of each size whose memory is measured together, so that pages do not round it.
+const COPIES: [usize; 4] = [400, 200, 40, 8];
+
+/// Sizes at which all balancers run in one network; at 5,300 their member lists alone would take over 10 GB.
+const NETWORKS: [usize; 3] = [9, 90, 880];
+
+/// Virtual time of one measurement.
+const WINDOW: Duration = Duration::from_secs(30);
+
+/// Measurements of which the fastest counts, since interruptions by other processes only add time.
+const WINDOWS: usize = 3;
+
+/// Measures the control state machine.
+pub fn run(report: &mut Report) {
+    one_node(report);
+    networks(report);
+}
+
+fn one_node(report: &mut Report) {
+    let mut memory = Series::new(
+        "node: resident memory of one, with members and VM list, no pools",
+        "members",
+        "MB",
+    );
+    let mut kept = Vec::new();
+    for (members, copies) in MEMBERS.into_iter().zip(COPIES) {
+        let zone = ranks(members);
+        let before = measure::resident_bytes();
+        let nodes = (0..copies).map(|_| Mirror::new(zone[zone.len() / 2], members, &[]).node);
+        kept.extend(nodes);
+        let bytes = measure::resident_bytes() - before;
+        memory.push(members, bytes / copies as f64 / 1e6);
+    }
+    drop(kept);
+    report.push(memory);
+    let role = "node with mirrored peers, highest rank";
+    mirrored(report, role, |zone| zone[zone.len() - 1]);
+    let role = "node with mirrored peers, rank 0 (link and reader)";
+    mirrored(report, role, |zone| zone[0]);
+}
+
+fn mirrored(report: &mut Report, role: &str, choose: fn(&[usize]) -> usize) {
+    let name = format!("{role}: time of handle, encoding and decoding");
+    let mut load = Series::new(&name, "members", "% of a core");
+    let mut sent = Series::new(&format!("{role}: bytes sent"), "members", "B/s");
+    for members in MEMBERS {
+        let mut mirror = Mirror::new(choose(&ranks(members)), members, &[]);
+        mirror.run(bench_fleet::settling_time(members));
+        let before = mirror.bytes;
+        let least = (0..WINDOWS).map(|_| mirror.load(WINDOW));
+        load.push(members, least.fold(f64::INFINITY, f64::min));
+        let time = WINDOW * WINDOWS as u32;
+        sent.push(members, (mirror.bytes - before) as f64 / time.as_secs_f64());
+    }
+    report.push(load);
+    report.push(sent);
+}
+
+fn networks(report: &mut Report) {
+    let mut mean = Series::new("network of all nodes: bytes sent, mean", "members", "B/s");
+    let mut most = Series::new(
+        "network of all nodes: bytes sent, largest of all",
+        "members",
+        "B/s",
+    );
+    let mut low = Series::new(
+        "network of all nodes: time of handle, encoding and decoding, highest rank",
+        "members",
+        "% of a core",
+    );
+    let mut reader = Series::new(
+        "network of all nodes: time of handle, encoding and decoding, rank 0",
+        "members",
+        "% of a core",
+    );
+    for members in NETWORKS {
+        let [rates, loads] = network(members);
+        mean.push(members, rates[0]);
+        most.push(members, rates[1]);
+        low.push(members, loads[0]);
+        reader.push(members, loads[1]);
+    }
+    [mean, most, low, reader]
+        .into_iter()
+        .for_each(|series| report.push(series));
+}
+
+/// Returns mean and largest bytes per second, and the load at the highest rank and at rank 0.
+fn network(members: usize) -> [[f64; 2]; 2] {
+    let mut network = bench_fleet::network(members);
+    let zone = ranks(members);
+    let timed = [zone[zone.len() - 1], zone[0]];
+    for at in timed {
+        network.hosts[at].is_timed = true;
+    }
+    let first = network.now.as_secs() as usize + 1;
+    let start = Duration::from_secs(first as u64);
+    network.run_until(start);
+    let before = timed.map(|at| network.hosts[at].busy);
+    network.run_until(start + WINDOW);
+    let seconds = WINDOW.as_secs_f64();
+    let load = |at: usize| {
+        let busy = network.hosts[timed[at]].busy - before[at];
+        busy.as_secs_f64() / seconds * 100.0
+    };
+    let last = first + WINDOW.as_secs() as usize;
+    let rates = network.hosts.iter().map(|host| {
+        let sent = &host.sent[first.min(host.sent.len())..last.min(host.sent.len())];
+        sent.iter().sum::<u32>() as f64 / seconds
+    });
+    let rates: Vec<f64> = rates.collect();
+    let mean = rates.iter().sum::<f64>() / members as f64;
+    let most = rates.iter().copied().fold(0.0, f64::max);
+    [[mean, most], [load(0), load(1)]]
+}
--- /dev/null
+++ b/crates/skylarkflow/src/bench_fleet.rs
@@ -0,0 +1,260 @@
+//! Balancers that know each other from the start, as one state machine or all in one network.
+
+use {
+    crate::bench_network::{self, Network, Part, TICK, record_in},
+    skylarkflow_policy::{
+        config_object::Object,
+        config_reader::{Answer, Call, Stored},
+        config_relay, id,
+        member::{self, Body, Identity, Place, State, Update},
+        node::{Action, Event, Message, Node, Settings},
+        vm,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Incarnation of every balancer, as long as a start time in Unix seconds.
+const INCARNATION: u64 = 1_700_000_000;
+
+/// Burst of the relay's budget. It holds the announcements of all objects that a fleet is started with, which would
+/// otherwise use up the default of 64 KB and delay what is measured.
+const BURST: usize = 1 << 24;
+
+/// Time in which the announcements of the first objects end: 59 versions in each round of 200 ms, 4 rounds each.
+pub fn settling_time(objects: usize) -> Duration {
+    Duration::from_secs(10) + Duration::from_millis(800) * objects.div_ceil(59) as u32
+}
+
+/// Returns the state machine of a balancer that knows only itself.
+pub fn node(record: &vm::Record, seed: u64) -> Node {
+    let identity = Identity {
+        id: record.id(),
+        place: place(record),
+        incarnation: INCARNATION,
+    };
+    let relay = config_relay::Settings {
+        burst: BURST,
+        ..config_relay::Settings::default()
+    };
+    let settings = Settings {
+        config: relay,
+        ..Settings::default()
+    };
+    Node::new(settings, identity, seed)
+}
+
+/// Returns the events that give a balancer all members, their VM list and other objects, as peers would send them.
+pub fn introduction(me: usize, records: &[vm::Record], objects: &[Object]) -> [Event; 2] {
+    let peer = &records[usize::from(me == 0)];
+    let others = records.iter().filter(|it| **it != records[me]);
+    let message = Message::Member(member::Message {
+        from: peer.id(),
+        incarnation: INCARNATION,
+        body: Body::List,
+        updates: others.map(update).collect(),
+    });
+    let vms = records.iter().cloned();
+    let vms = vms.map(|it| Object::from_vm(it, true, 1));
+    let objects = vms.chain(objects.iter().cloned()).collect();
+    let objects = Message::Config(config_relay::Message::Objects(objects));
+    let from = peer.address;
+    [message, objects].map(|message| Event::Received { from, message })
+}
+
+/// Returns a network of balancers that know each other and have settled.
+pub fn network(members: usize) -> Network<Node> {
+    network_in(members, bench_network::ZONES)
+}
+
+/// Returns a settled network with some number of zones.
+pub fn network_in(members: usize, zones: usize) -> Network<Node> {
+    let records: Vec<vm::Record> = (0..members).map(|at| record_in(at, zones)).collect();
+    let mut network = Network::new();
+    for (at, record) in records.iter().enumerate() {
+        network.start(record.clone(), node(record, at as u64));
+    }
+    network.run_until(TICK);
+    for at in 0..members {
+        for event in introduction(at, &records, &[]) {
+            network.event(at, event);
+        }
+    }
+    let end = TICK + settling_time(members);
+    network.run_until(end);
+    network.changed.clear();
+    network
+}
+
+/// Returns the members of the first zone in ascending order of their identifiers, as ranks are given.
+pub fn ranks(members: usize) -> Vec<usize> {
+    let mut zone: Vec<usize> = (0..members).step_by(bench_network::ZONES).collect();
+    zone.sort_unstable_by_key(|&at| bench_network::record(at).id());
+    zone
+}
+
+/// One balancer whose peers answer each message and send one of the same kind back.
+///
+/// In a fleet of equal balancers each one receives as many probes, digests and summaries as it sends.
+pub struct Mirror {
+    /// The state machine.
+    pub node: Node,
+    /// Time of its calls, with encoding and decoding.
+    pub busy: Duration,
+    /// Bytes sent.
+    pub bytes: usize,
+    now: Duration,
+    me: usize,
+    vms: Vec<vm::Record>,
+    objects: Vec<Object>,
+}
+
+impl Mirror {
+    /// Creates a balancer that knows all members and objects.
+    pub fn new(me: usize, members: usize, objects: &[Object]) -> Mirror {
+        let vms: Vec<vm::Record> = (0..members).map(bench_network::record).collect();
+        let events = introduction(me, &vms, objects);
+        let mut mirror = Mirror {
+            node: node(&vms[me], me as u64),
+            busy: Duration::ZERO,
+            bytes: 0,
+            now: Duration::ZERO,
+            me,
+            vms,
+            objects: objects.to_vec(),
+        };
+        mirror.event(Event::Tick);
+        events.into_iter().for_each(|event| mirror.event(event));
+        mirror
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.event(Event::Tick);
+        }
+    }
+
+    /// Runs for a time and returns the share of a core that the calls took, in percent.
+    pub fn load(&mut self, time: Duration) -> f64 {
+        let before = self.busy;
+        self.run(time);
+        (self.busy - before).as_secs_f64() / time.as_secs_f64() * 100.0
+    }
+
+    /// Passes an event to the balancer and lets its peers and the platform answer.
+    pub fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        let start = Instant::now();
+        Part::handle(&mut self.node, self.now, event, &mut actions);
+        self.busy += start.elapsed();
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.answer(to, message),
+                Action::Call(call) => self.call(&call),
+                Action::Tables => self.take_tables(),
+                Action::View | Action::Older { .. } => {}
+            }
+        }
+    }
+
+    fn take_tables(&mut self) {
+        let start = Instant::now();
+        self.node.tables(self.now);
+        self.busy += start.elapsed();
+    }
+
+    fn answer(&mut self, to: SocketAddr, message: Message) {
+        let answers = answers(bench_network::index(to), &message);
+        let start = Instant::now();
+        self.bytes += bench_network::encode(self.me, message).len();
+        self.busy += start.elapsed();
+        for answer in answers {
+            let bytes = bench_network::encode(bench_network::index(to), answer);
+            let start = Instant::now();
+            let message = bench_network::decode(&bytes);
+            self.busy += start.elapsed();
+            self.event(Event::Received { from: to, message });
+        }
+    }
+
+    fn call(&mut self, call: &Call) {
+        let answer = match call {
+            Call::List => Answer::Listed {
+                revision: 1,
+                objects: self.objects.iter().map(stored).collect(),
+            },
+            Call::Vms => Answer::Vms(self.vms.clone()),
+            Call::Watch { .. } | Call::Put { .. } => return,
+        };
+        self.event(Event::Answered(answer));
+    }
+}
+
+fn stored(object: &Object) -> Stored {
+    Stored {
+        object: object.clone(),
+        version: 1,
+    }
+}
+
+fn answers(peer: usize, message: &Message) -> Vec<Message> {
+    match message {
+        Message::Member(message) => {
+            let answer = |body: Body| {
+                Message::Member(member::Message {
+                    from: id::from_name(&bench_network::record(peer).name),
+                    incarnation: INCARNATION,
+                    body,
+                    updates: Vec::new(),
+                })
+            };
+            let bodies = member_answers(&message.body);
+            bodies.into_iter().map(answer).collect()
+        }
+        Message::Config(message) => {
+            let messages = config_answers(message);
+            messages.into_iter().map(Message::Config).collect()
+        }
+    }
+}
+
+fn member_answers(body: &Body) -> Vec<Body> {
+    match body {
+        Body::Ping(sequence, ballot) => vec![
+            Body::Ack(*sequence, *ballot, Vec::new()),
+            Body::Ping(*sequence, *ballot),
+        ],
+        Body::Digest(digests) => vec![Body::Digest(digests.clone())],
+        _ => Vec::new(),
+    }
+}
+
+fn config_answers(message: &config_relay::Message) -> Vec<config_relay::Message> {
+    use config_relay::Message::{Buckets, Digest, Summary};
+    match message {
+        Summary(digest) => vec![Summary(*digest)],
+        Digest(digests) => vec![Buckets(Vec::new(), Vec::new()), Digest(digests.clone())],
+        _ => Vec::new(),
+    }
+}
+
+fn place(record: &vm::Record) -> Place {
+    Place {
+        zone: record.zone.clone(),
+        address: record.address,
+    }
+}
+
+fn update(record: &vm::Record) -> Update {
+    Update {
+        id: record.id(),
+        incarnation: INCARNATION,
+        state: State::Alive,
+        place: Some(place(record)),
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/bench_network.rs
@@ -0,0 +1,344 @@
+//! An in-memory network of control state machines in virtual time, with a platform that answers their calls.
+
+use {
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    skylarkflow_peer::{
+        control::{self, Control},
+        datagram::{self, Datagram},
+    },
+    skylarkflow_policy::{
+        config_reader::{Answer, Call, Revision, Stored},
+        id,
+        node::{Action, Event, Message, Node},
+        vm,
+    },
+    std::{
+        cmp::{Ordering, Reverse},
+        collections::{BTreeMap, BinaryHeap},
+        net::{Ipv4Addr, SocketAddr},
+        time::{Duration, Instant},
+    },
+};
+
+/// Zones of the size in two years.
+pub const ZONES: usize = 6;
+
+/// Time between two ticks of a balancer.
+pub const TICK: Duration = Duration::from_millis(100);
+
+const SEED: u64 = 1;
+const PORT: u16 = 7_000;
+const DELAY_IN_ZONE: Duration = Duration::from_micros(400);
+const DELAY_BETWEEN_ZONES: Duration = Duration::from_micros(1_500);
+const PLATFORM_DELAY: Duration = Duration::from_millis(5);
+
+/// Longest time that the platform lets a watch wait.
+const WATCH: Duration = Duration::from_secs(30);
+
+/// A state machine of a balancer that takes control events.
+pub trait Part {
+    /// Handles an event and appends what is to be done.
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Part for Node {
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        Node::handle(self, now, event, actions);
+    }
+}
+
+/// One balancer of the network.
+pub struct Host<P> {
+    /// Its state machine.
+    pub part: P,
+    /// Whether it runs.
+    pub is_running: bool,
+    /// Whether the time of its calls is taken.
+    pub is_timed: bool,
+    /// Time of its calls, with encoding and decoding.
+    pub busy: Duration,
+    /// Bytes sent in each second of virtual time.
+    pub sent: Vec<u32>,
+    /// Calls of the platform.
+    pub calls: u64,
+}
+
+/// Balancers, the datagrams between them and the platform.
+pub struct Network<P> {
+    /// Virtual time.
+    pub now: Duration,
+    /// Balancers by index, which also gives their address.
+    pub hosts: Vec<Host<P>>,
+    /// The platform's VM list.
+    pub vms: Vec<vm::Record>,
+    /// Balancers whose view or tables changed since the caller last emptied the list.
+    pub changed: Vec<usize>,
+    objects: BTreeMap<String, Stored>,
+    revision: Revision,
+    watches: Vec<Watch>,
+    queue: BinaryHeap<Reverse<Due>>,
+    sequence: u64,
+    rng: SmallRng,
+}
+
+struct Watch {
+    number: u64,
+    host: usize,
+    after: Revision,
+}
+
+struct Due {
+    at: Duration,
+    sequence: u64,
+    delivery: Delivery,
+}
+
+enum Delivery {
+    Tick(usize),
+    Datagram {
+        from: usize,
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Answer {
+        to: usize,
+        answer: Answer,
+    },
+    WatchEnd(u64),
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        self.sequence == other.sequence
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
+    }
+}
+
+/// Returns the VM of a balancer by its index; zones take turns.
+pub fn record(index: usize) -> vm::Record {
+    record_in(index, ZONES)
+}
+
+/// Returns the VM of a balancer in a deployment with some number of zones.
+pub fn record_in(index: usize, zones: usize) -> vm::Record {
+    vm::Record {
+        name: format!("entry-{index}"),
+        address: address(index),
+        zone: format!("zone-{}", index % zones),
+        role: vm::Role::Entry,
+        state: vm::State::Live,
+    }
+}
+
+/// Returns the index of the balancer at an address.
+pub fn index(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => (address.ip().to_bits() & 0x00ff_ffff) as usize,
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    let bits = 0x0a00_0000 | index as u32;
+    SocketAddr::from((Ipv4Addr::from(bits), PORT))
+}
+
+/// Writes a message as the datagram that a balancer sends.
+pub fn encode(from: usize, message: Message) -> Vec<u8> {
+    let control = Control {
+        from: id::from_name(&record(from).name),
+        message: control::Message::Node(message),
+    };
+    datagram::control_to_vec(&control).expect("encoding into memory")
+}
+
+/// Reads a message from a datagram of [`encode`].
+pub fn decode(bytes: &[u8]) -> Message {
+    match datagram::from_slice(bytes) {
+        Ok(Datagram::Control(Control {
+            message: control::Message::Node(message),
+            ..
+        })) => message,
+        _ => panic!("the datagram is of this process"),
+    }
+}
+
+impl<P: Part> Network<P> {
+    /// Creates a network without balancers.
+    pub fn new() -> Network<P> {
+        Network {
+            now: Duration::ZERO,
+            hosts: Vec::new(),
+            vms: Vec::new(),
+            changed: Vec::new(),
+            objects: BTreeMap::new(),
+            revision: 0,
+            watches: Vec::new(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(SEED),
+        }
+    }
+
+    /// Adds a balancer, whose first tick is due within [`TICK`], and lists its VM.
+    pub fn start(&mut self, record: vm::Record, part: P) {
+        let index = self.hosts.len();
+        debug_assert_eq!(record.address, address(index));
+        self.vms.push(record);
+        self.hosts.push(Host {
+            part,
+            is_running: true,
+            is_timed: false,
+            busy: Duration::ZERO,
+            sent: Vec::new(),
+            calls: 0,
+        });
+        let phase = self.rng.random_range(0..TICK.as_micros() as u64);
+        self.enqueue(Duration::from_micros(phase), Delivery::Tick(index));
+    }
+
+    /// Passes an event to a balancer and carries out its actions.
+    pub fn event(&mut self, at: usize, event: Event) {
+        let start = Instant::now();
+        let mut actions = Vec::new();
+        let host = &mut self.hosts[at];
+        host.part.handle(self.now, event, &mut actions);
+        if host.is_timed {
+            host.busy += start.elapsed();
+        }
+        for action in actions {
+            self.act(at, action);
+        }
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end: Duration) {
+        while self.queue.peek().is_some_and(|due| due.0.at <= end) {
+            if let Some(Reverse(due)) = self.queue.pop() {
+                self.now = self.now.max(due.at);
+                self.deliver(due.delivery);
+            }
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Tick(at) if self.hosts[at].is_running => {
+                self.enqueue(TICK, Delivery::Tick(at));
+                self.event(at, Event::Tick);
+            }
+            Delivery::Datagram { from, to, bytes } if self.hosts[to].is_running => {
+                let start = Instant::now();
+                let message = decode(&bytes);
+                if self.hosts[to].is_timed {
+                    self.hosts[to].busy += start.elapsed();
+                }
+                let from = address(from);
+                self.event(to, Event::Received { from, message });
+            }
+            Delivery::Answer { to, answer } if self.hosts[to].is_running => {
+                self.event(to, Event::Answered(answer));
+            }
+            Delivery::WatchEnd(number) => {
+                let ended = self.watches.iter().position(|it| it.number == number);
+                if let Some(watch) = ended.map(|at| self.watches.swap_remove(at)) {
+                    self.answer_watch(&watch);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, at: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(at, index(to), message),
+            Action::View | Action::Tables => self.changed.push(at),
+            Action::Call(call) => self.call(at, call),
+            Action::Older { .. } => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let start = Instant::now();
+        let bytes = encode(from, message);
+        let host = &mut self.hosts[from];
+        if host.is_timed {
+            host.busy += start.elapsed();
+        }
+        let second = self.now.as_secs() as usize;
+        host.sent.resize(host.sent.len().max(second + 1), 0);
+        host.sent[second] += bytes.len() as u32;
+        if to >= self.hosts.len() {
+            return;
+        }
+        let is_near = from % ZONES == to % ZONES;
+        let delay = if is_near {
+            DELAY_IN_ZONE
+        } else {
+            DELAY_BETWEEN_ZONES
+        };
+        self.enqueue(delay, Delivery::Datagram { from, to, bytes });
+    }
+
+    fn call(&mut self, at: usize, call: Call) {
+        self.hosts[at].calls += 1;
+        let answer = match call {
+            Call::List => Answer::Listed {
+                revision: self.revision,
+                objects: self.objects.values().cloned().collect(),
+            },
+            Call::Vms => Answer::Vms(self.vms.clone()),
+            Call::Put { .. } => Answer::Conflict,
+            Call::Watch { after } => return self.watch(at, after),
+        };
+        self.enqueue(PLATFORM_DELAY, Delivery::Answer { to: at, answer });
+    }
+
+    fn watch(&mut self, host: usize, after: Revision) {
+        let number = self.sequence;
+        let watch = Watch {
+            number,
+            host,
+            after,
+        };
+        if after < self.revision {
+            return self.answer_watch(&watch);
+        }
+        self.watches.push(watch);
+        self.enqueue(WATCH, Delivery::WatchEnd(number));
+    }
+
+    fn answer_watch(&mut self, watch: &Watch) {
+        let changed = self.objects.values();
+        let changed = changed.filter(|stored| stored.version > watch.after);
+        let answer = Answer::Watched {
+            revision: self.revision,
+            objects: changed.cloned().collect(),
+        };
+        let to = watch.host;
+        self.enqueue(PLATFORM_DELAY, Delivery::Answer { to, answer });
+    }
+
+    fn enqueue(&mut self, delay: Duration, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.push(Reverse(Due {
+            at: self.now + delay,
+            sequence: self.sequence,
+            delivery,
+        }));
+    }
+}
