Measure configuration against objects and its spread against relays

Cause: the cost of 3,700 pools with 10 upstreams each at one balancer, and the time until a change is in force at 5,300, were not measured.

Ruled out: nodes with membership at 5,300, which do not fit into memory together.

--- a/crates/skylarkflow/src/bench.rs
+++ b/crates/skylarkflow/src/bench.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
-        bench_control, bench_datagrams, bench_decisions, bench_steps, bench_tables,
+        bench_control,
+        bench_control::Part,
+        bench_datagrams, bench_decisions, bench_steps, bench_tables,
         command::Result,
         figure::{self, Figure},
         measure::Report,
@@ -39,7 +41,11 @@
 /// Measure the control state machines against the number of members, objects and zones.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "control")]
-struct Control {}
+struct Control {
+    /// part to measure: nodes or objects; all by default
+    #[argh(option)]
+    part: Option<Part>,
+}
 
 /// Measure datagrams a second through ingress and owner against a bare relay with as many threads.
 #[derive(Debug, FromArgs)]
@@ -79,7 +85,9 @@
     /// Fails if a balancer cannot start or the file cannot be written.
     pub fn run(self) -> Result {
         let figures = match self.subject {
-            Subject::Control(Control {}) => return self.run_series(bench_control::run),
+            Subject::Control(Control { part }) => {
+                return self.run_series(|report| bench_control::run(report, part));
+            }
             Subject::Datagrams(datagrams) => datagrams.measure()?,
             Subject::Decisions(Decisions {}) => bench_decisions::measure(),
             Subject::Steps(Steps {}) => bench_steps::measure(),
@@ -92,7 +100,7 @@
         }
     }
 
-    fn run_series(&self, measure: fn(&mut Report)) -> Result {
+    fn run_series(&self, measure: impl FnOnce(&mut Report)) -> Result {
         let mut report = Report::default();
         measure(&mut report);
         if let Some(path) = &self.json {
--- a/crates/skylarkflow/src/bench_control.rs
+++ b/crates/skylarkflow/src/bench_control.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         bench_fleet::{self, Mirror, ranks},
+        bench_objects,
         measure::{self, Report, Series},
     },
-    std::time::Duration,
+    std::{str::FromStr, time::Duration},
 };
 
 /// Members in 6 zones: today, a tenth of the target, the target of a zone, the size in two years.
@@ -23,10 +24,37 @@
 /// Measurements of which the fastest counts, since interruptions by other processes only add time.
 const WINDOWS: usize = 3;
 
-/// Measures the control state machine.
-pub fn run(report: &mut Report) {
-    one_node(report);
-    networks(report);
+/// A part of the measurements.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// State machines against members.
+    Nodes,
+    /// Configuration against objects.
+    Objects,
+}
+
+impl FromStr for Part {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Part, String> {
+        match text {
+            "nodes" => Ok(Part::Nodes),
+            "objects" => Ok(Part::Objects),
+            _ => Err(format!("unknown part {text}")),
+        }
+    }
+}
+
+/// Measures the control state machines, or one part of them.
+pub fn run(report: &mut Report, part: Option<Part>) {
+    let is_wanted = |it| part.is_none_or(|part| part == it);
+    if is_wanted(Part::Nodes) {
+        one_node(report);
+        networks(report);
+    }
+    if is_wanted(Part::Objects) {
+        bench_objects::run(report);
+    }
 }
 
 fn one_node(report: &mut Report) {
--- a/crates/skylarkflow/src/bench_network.rs
+++ b/crates/skylarkflow/src/bench_network.rs
@@ -7,6 +7,7 @@
         datagram::{self, Datagram},
     },
     skylarkflow_policy::{
+        config_object::Object,
         config_reader::{Answer, Call, Revision, Stored},
         id,
         node::{Action, Event, Message, Node},
@@ -210,6 +211,17 @@
         self.enqueue(Duration::from_micros(phase), Delivery::Tick(index));
     }
 
+    /// Writes an object into the store.
+    pub fn put(&mut self, object: Object) {
+        self.revision += 1;
+        let version = self.revision;
+        let key = object.key.clone();
+        self.objects.insert(key, Stored { object, version });
+        for watch in std::mem::take(&mut self.watches) {
+            self.answer_watch(&watch);
+        }
+    }
+
     /// Passes an event to a balancer and carries out its actions.
     pub fn event(&mut self, at: usize, event: Event) {
         let start = Instant::now();
--- /dev/null
+++ b/crates/skylarkflow/src/bench_objects.rs
@@ -0,0 +1,278 @@
+//! Configuration: cost of its objects and of a change, and the time until a change is in force.
+
+use {
+    crate::{
+        bench_fleet::{self, Mirror},
+        bench_network::{self, Network, Part, ZONES},
+        bench_relays::{self, Relaying},
+        measure::{self, Report, Series},
+    },
+    skylarkflow_policy::{
+        config::{Pool, Route, Upstream},
+        config_object::Object,
+        config_relay,
+        node::{Event, Message},
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::{Duration, Instant},
+    },
+};
+
+/// Pools, with as many routes; the last is the size in two years.
+const POOLS: [usize; 3] = [72, 700, 3_700];
+
+const UPSTREAMS_PER_POOL: usize = 10;
+
+/// State machines of each size whose memory is measured together.
+const COPIES: [usize; 3] = [20, 8, 3];
+
+/// Members of the deployment whose objects are measured.
+const MEMBERS: usize = 9;
+
+/// Changes whose time is taken at each size; the least counts.
+const CHANGES: u64 = 20;
+
+/// Relays in one network.
+const RELAYS: [usize; 4] = [9, 90, 880, 5_300];
+
+/// Changes that are spread in each network.
+const SPREADS: usize = 5;
+
+/// Configuration changes on a day in two years.
+const CHANGES_PER_DAY: f64 = 8_000.0;
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+/// Virtual time between two changes, in which the relay of the earlier one ends.
+const SPACING: Duration = Duration::from_millis(5_300);
+
+/// Accuracy of the time until a change is in force.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Virtual time in which the relays find their readers and agree.
+const SETTLING: Duration = Duration::from_secs(10);
+
+/// Measures configuration.
+pub fn run(report: &mut Report) {
+    memory(report);
+    adoption(report);
+    load(report);
+    spreads(report);
+}
+
+fn memory(report: &mut Report) {
+    let mut memory = Series::new(
+        "configuration: resident memory of one node with its tables in force, 9 members",
+        "pools",
+        "MB",
+    );
+    let mut kept = Vec::new();
+    for (pools, copies) in POOLS.into_iter().zip(COPIES) {
+        let objects = objects(pools);
+        let before = measure::resident_bytes();
+        let nodes = (0..copies).map(|_| {
+            let mut node = Mirror::new(0, MEMBERS, &objects).node;
+            let tables = node.tables(Duration::from_secs(1));
+            (node, tables)
+        });
+        kept.extend(nodes);
+        let bytes = measure::resident_bytes() - before;
+        memory.push(pools, bytes / copies as f64 / 1e6);
+    }
+    drop(kept);
+    report.push(memory);
+}
+
+/// Measures one balancer that receives one changed pool at a time.
+fn adoption(report: &mut Report) {
+    let mut receive = Series::new(
+        "configuration: time to decode and adopt one changed pool",
+        "pools",
+        "us",
+    );
+    let mut tables = Series::new(
+        "configuration: time to derive the tables in force after one change",
+        "pools",
+        "ms",
+    );
+    for pools in POOLS {
+        let mut node = Mirror::new(0, MEMBERS, &objects(pools)).node;
+        let now = Duration::from_secs(1);
+        node.tables(now);
+        let mut least = [f64::INFINITY; 2];
+        for change in 0..CHANGES {
+            let object = Object::from_pool(pool(change as usize, change + 2));
+            let message = Message::Config(config_relay::Message::Objects(vec![object]));
+            let bytes = bench_network::encode(1, message);
+            let start = Instant::now();
+            let message = bench_network::decode(&bytes);
+            let from = bench_network::record(1).address;
+            Part::handle(
+                &mut node,
+                now,
+                Event::Received { from, message },
+                &mut Vec::new(),
+            );
+            least[0] = least[0].min(start.elapsed().as_secs_f64());
+            let start = Instant::now();
+            node.tables(now);
+            least[1] = least[1].min(start.elapsed().as_secs_f64());
+        }
+        receive.push(pools, least[0] * 1e6);
+        tables.push(pools, least[1] * 1e3);
+    }
+    report.push(receive);
+    report.push(tables);
+}
+
+/// Measures the steady state of one balancer with all objects, whose peers mirror what it sends.
+fn load(report: &mut Report) {
+    for (role, rank) in [("highest rank", 1), ("rank 0 (reader)", 0)] {
+        let name = format!("configuration: steady load with 9 members, {role}");
+        let mut load = Series::new(&name, "pools", "% of a core");
+        for pools in POOLS {
+            let zone = bench_fleet::ranks(MEMBERS);
+            let mut mirror = Mirror::new(zone[rank], MEMBERS, &objects(pools));
+            mirror.run(bench_fleet::settling_time(2 * pools));
+            let window = Duration::from_secs(60);
+            let least = (0..3).map(|_| mirror.load(window));
+            load.push(pools, least.fold(f64::INFINITY, f64::min));
+        }
+        report.push(load);
+    }
+}
+
+fn spreads(report: &mut Report) {
+    let mut mean = Series::new(
+        "change: time from the write to the last relay, mean of 5",
+        "relays",
+        "s",
+    );
+    let mut most = Series::new(
+        "change: time from the write to the last relay, longest of 5",
+        "relays",
+        "s",
+    );
+    let mut bytes = Series::new(
+        "change: bytes sent by one relay above the steady state, mean of all",
+        "relays",
+        "bytes per change",
+    );
+    let mut rate = Series::new(
+        "change: bytes per change times 8,000 changes a day",
+        "relays",
+        "B/s",
+    );
+    let mut steady = Series::new("relay without changes: bytes sent, mean", "relays", "B/s");
+    for relays in RELAYS {
+        let spread = spread(relays);
+        let times = spread.times.iter().sum::<f64>() / spread.times.len() as f64;
+        mean.push(relays, times);
+        most.push(relays, spread.times.iter().copied().fold(0.0, f64::max));
+        bytes.push(relays, spread.bytes);
+        rate.push(relays, spread.bytes * CHANGES_PER_DAY / SECONDS_PER_DAY);
+        steady.push(relays, spread.steady);
+    }
+    [mean, most, bytes, rate, steady]
+        .into_iter()
+        .for_each(|series| report.push(series));
+}
+
+struct Spread {
+    times: Vec<f64>,
+    bytes: f64,
+    steady: f64,
+}
+
+fn spread(relays: usize) -> Spread {
+    let mut network = bench_relays::network(relays);
+    network.put(Object::from_pool(pool(0, 1)));
+    network.run_until(SETTLING);
+    let quiet = SETTLING + SPACING * SPREADS as u32;
+    let before = sent(&network);
+    network.run_until(quiet);
+    let steady = (sent(&network) - before) / (relays as f64);
+    let before = sent(&network);
+    let mut times = Vec::new();
+    for change in 0..SPREADS {
+        let start = quiet + SPACING * change as u32;
+        times.push(time_in_force(&mut network, 2 + change as u64).as_secs_f64());
+        network.run_until(start + SPACING);
+    }
+    let bytes = (sent(&network) - before) / relays as f64 - steady;
+    Spread {
+        times,
+        bytes: bytes / SPREADS as f64,
+        steady: steady / (SPACING * SPREADS as u32).as_secs_f64(),
+    }
+}
+
+/// Writes a generation of a pool and runs until all relays have it in force.
+fn time_in_force(network: &mut Network<Relaying>, generation: u64) -> Duration {
+    let object = Object::from_pool(pool(0, generation));
+    let key = object.id();
+    let start = network.now;
+    network.put(object);
+    let mut lacking: Vec<usize> = (0..network.hosts.len()).collect();
+    while !lacking.is_empty() && network.now < start + SPACING {
+        let next = network.now + STEP;
+        network.run_until(next);
+        let store = |at: usize| network.hosts[at].part.relay.store();
+        let lacks = |at: &usize| {
+            let version = store(*at).version(key);
+            version.is_none_or(|version| version.generation < generation)
+        };
+        lacking.retain(lacks);
+    }
+    network.now - start
+}
+
+fn sent(network: &Network<Relaying>) -> f64 {
+    let hosts = network.hosts.iter();
+    hosts
+        .flat_map(|host| &host.sent)
+        .map(|&bytes| f64::from(bytes))
+        .sum()
+}
+
+fn objects(pools: usize) -> Vec<Object> {
+    let pools_and_routes = |index| {
+        [
+            Object::from_pool(pool(index, 1)),
+            Object::from_route(route(index)),
+        ]
+    };
+    (0..pools).flat_map(pools_and_routes).collect()
+}
+
+fn route(index: usize) -> Route {
+    Route {
+        name: format!("service-{index}"),
+        generation: 1,
+        address: SocketAddr::from((Ipv4Addr::from(0x0c00_0000 + index as u32), 5_683)),
+        pool: format!("service-{index}"),
+        deadline: Duration::from_secs(10),
+    }
+}
+
+/// Returns a pool of which each generation has other weights.
+fn pool(index: usize, generation: u64) -> Pool {
+    let upstream = |position: usize| {
+        let number = index * UPSTREAMS_PER_POOL + position;
+        Upstream {
+            name: format!("service-{index}-{position}"),
+            address: SocketAddr::from((Ipv4Addr::from(0x0d00_0000 + number as u32), 5_683)),
+            zone: format!("zone-{}", position % ZONES),
+            weight: 1 + generation as u32 % 7,
+            drain: false,
+        }
+    };
+    Pool {
+        name: format!("service-{index}"),
+        generation,
+        slots: 2,
+        connections: 2_000,
+        upstreams: (0..UPSTREAMS_PER_POOL).map(upstream).collect(),
+    }
+}
--- /dev/null
+++ b/crates/skylarkflow/src/bench_relays.rs
@@ -0,0 +1,66 @@
+//! A network of relays of configuration alone, which fits into memory at the size in two years.
+
+use {
+    crate::bench_network::{self, Network, Part, ZONES},
+    skylarkflow_policy::{
+        config_relay::{self, Peer, Relay, Settings},
+        node::{Action, Event, Message},
+        vm,
+    },
+    std::time::Duration,
+};
+
+/// The relay of one balancer without its membership.
+pub struct Relaying {
+    /// The state machine.
+    pub relay: Relay,
+    actions: Vec<config_relay::Action>,
+}
+
+impl Part for Relaying {
+    fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.relay.tick(now, &mut self.actions),
+            Event::Received {
+                from,
+                message: Message::Config(message),
+            } => self.relay.receive(now, from, message, &mut self.actions),
+            Event::Answered(answer) => self.relay.answer(now, answer, &mut self.actions),
+            _ => {}
+        }
+        actions.extend(self.actions.drain(..).filter_map(action));
+    }
+}
+
+fn action(action: config_relay::Action) -> Option<Action> {
+    match action {
+        config_relay::Action::Send { to, message } => Some(Action::Send {
+            to,
+            message: Message::Config(message),
+        }),
+        config_relay::Action::Call(call) => Some(Action::Call(call)),
+        config_relay::Action::Tables => Some(Action::Tables),
+        config_relay::Action::Older { .. } | config_relay::Action::Listed => None,
+    }
+}
+
+/// Returns relays that know each other. Ranks follow the index, and the VM list is empty.
+pub fn network(relays: usize) -> Network<Relaying> {
+    let records: Vec<vm::Record> = (0..relays).map(bench_network::record).collect();
+    let peer = |record: &vm::Record| Peer {
+        id: record.id(),
+        address: record.address,
+    };
+    let peers: Vec<Peer> = records.iter().map(peer).collect();
+    let mut network = Network::new();
+    for (at, record) in records.into_iter().enumerate() {
+        let mut relay = Relay::new(Settings::default(), at as u64);
+        let others = peers.iter().filter(|peer| peer.id != record.id());
+        let others = others.copied().collect();
+        relay.set_peers(Duration::ZERO, others, at / ZONES, &mut Vec::new());
+        let actions = Vec::new();
+        network.start(record, Relaying { relay, actions });
+    }
+    network.vms.clear();
+    network
+}
