--- a/crates/policy/tests/harness/caller.rs
+++ b/crates/policy/tests/harness/caller.rs
@@ -56,6 +56,10 @@
         if self.now >= self.stop_at {
             return;
         }
+        if self.now < self.silent_until {
+            let pause = self.think.mul_f64(self.rng.random_range(0.2..1.8));
+            return self.schedule(self.silent_until + pause, Happening::Think { caller });
+        }
         let id = self.requests.len() as u64 + 1;
         let effect = match self.rng.random_bool(self.posts) {
             true => Effect::NonIdempotent,
