--- a/crates/policy/src/admit.rs
+++ b/crates/policy/src/admit.rs
@@ -83,15 +83,17 @@
             && entry.term == self.history.term()
         {
             let is_held = is_own || entry.view == self.history.number();
-            return match is_held {
-                true => Standing::Here(Trace::default()),
-                false => Standing::Gone,
+            return if is_held {
+                Standing::Here(Trace::default())
+            } else {
+                Standing::Gone
             };
         }
         let trace = self.trace(shard, key, is_own);
-        match trace.ask.is_empty() {
-            true => Standing::Here(trace),
-            false => Standing::Elsewhere(trace),
+        if trace.ask.is_empty() {
+            Standing::Here(trace)
+        } else {
+            Standing::Elsewhere(trace)
         }
     }
 
@@ -100,12 +102,11 @@
         let own = self.core.id();
         let mut trace = self.history.trace(self.now, key.hash(), own);
         if let Some(moved) = shard.moved.get(key) {
-            match self.history.reaches(self.now, moved.to) {
-                true => trace.ask.push(moved.to),
-                false => {
-                    let until = moved.used + QUARANTINE;
-                    trace.quarantined_until = trace.quarantined_until.max(until);
-                }
+            if self.history.reaches(self.now, moved.to) {
+                trace.ask.push(moved.to)
+            } else {
+                let until = moved.used + QUARANTINE;
+                trace.quarantined_until = trace.quarantined_until.max(until);
             }
         }
         // A datagram that was passed on to a balancer that does not own the flow comes from one with a newer view.
@@ -183,9 +184,10 @@
         key: &Key,
         quarantined_until: Duration,
     ) -> Option<UpstreamId> {
-        let known_dead = match quarantined_until > self.now {
-            true => quarantined_until.saturating_sub(QUARANTINE),
-            false => self.now,
+        let known_dead = if quarantined_until > self.now {
+            quarantined_until.saturating_sub(QUARANTINE)
+        } else {
+            self.now
         };
         let mut tables = self.config.since(known_dead.saturating_sub(DEATH_LAG));
         default_upstream(tables.next()?, key)
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -176,12 +176,11 @@
     fn refused(&mut self, shard: &mut Shard, exchange: Exchange<Dispatched>) {
         let upstream = exchange.stage.upstream;
         let entry = shard.flows.get(&exchange.key);
-        match entry.is_none_or(|entry| entry.established) {
-            true => self.retry(shard, exchange, Some(upstream)),
-            false => {
-                self.release(shard, &exchange.key, upstream);
-                self.retry(shard, exchange, None);
-            }
+        if entry.is_none_or(|entry| entry.established) {
+            self.retry(shard, exchange, Some(upstream))
+        } else {
+            self.release(shard, &exchange.key, upstream);
+            self.retry(shard, exchange, None);
         }
     }
 
--- a/crates/policy/src/background.rs
+++ b/crates/policy/src/background.rs
@@ -283,9 +283,12 @@
         if self.history.is_pending(from) {
             self.note(Note::Completed { from });
             let now = self.now;
-            self.history = self.core.update(|history| match quarantine.is_zero() {
-                true => history.complete(now, from),
-                false => history.complete_in_quarantine(now, from, quarantine),
+            self.history = self.core.update(|history| {
+                if quarantine.is_zero() {
+                    history.complete(now, from)
+                } else {
+                    history.complete_in_quarantine(now, from, quarantine)
+                }
             });
         }
         let message = Message::Completed {
--- a/crates/policy/src/config_relay.rs
+++ b/crates/policy/src/config_relay.rs
@@ -231,9 +231,10 @@
             self.send_to_any(now, message, actions);
         }
         if now >= self.next_digest && !self.peers.is_empty() {
-            let interval = match self.is_synchronized {
-                true => self.settings.digest_interval,
-                false => self.settings.join_interval,
+            let interval = if self.is_synchronized {
+                self.settings.digest_interval
+            } else {
+                self.settings.join_interval
             };
             self.next_digest = now + self.jittered(interval);
             let message = Message::Digest(self.store.digests().to_vec());
--- a/crates/policy/src/dedupe.rs
+++ b/crates/policy/src/dedupe.rs
@@ -288,9 +288,10 @@
 
 impl From<WireMark> for Mark {
     fn from(WireMark(message_id, token, is_idempotent, age, state): WireMark) -> Mark {
-        let effect = match is_idempotent {
-            true => Effect::Idempotent,
-            false => Effect::NonIdempotent,
+        let effect = if is_idempotent {
+            Effect::Idempotent
+        } else {
+            Effect::NonIdempotent
         };
         Mark {
             message_id,
--- a/crates/policy/src/history.rs
+++ b/crates/policy/src/history.rs
@@ -223,9 +223,10 @@
             0 => successor.clone(),
             _ => self.current.clone(),
         };
-        let foreign_until = match previous.zones_remain_in(&view) {
-            true => Duration::ZERO,
-            false => now + QUARANTINE,
+        let foreign_until = if previous.zones_remain_in(&view) {
+            Duration::ZERO
+        } else {
+            now + QUARANTINE
         };
         self.current = view;
         self.successor = successor;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -451,9 +451,10 @@
     }
 
     fn place(&mut self, now: Duration, flow: Hash) -> Option<Placement> {
-        let members = match self.health.fails_open() {
-            true => &self.open,
-            false => &self.healthy,
+        let members = if self.health.fails_open() {
+            &self.open
+        } else {
+            &self.healthy
         };
         let choice = placement::choose(
             &self.settings.placement,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -55,9 +55,10 @@
 
     /// Returns the estimated wait of a request that arrives now, in seconds.
     pub fn wait(&self, now: Duration, job: &Job) -> f64 {
-        let ahead = match job.established {
-            true => self.established.len(),
-            false => self.waiting(),
+        let ahead = if job.established {
+            self.established.len()
+        } else {
+            self.waiting()
         };
         if ahead == 0 && self.limit.allows(now, self.in_flight()) {
             return 0.0;
@@ -68,9 +69,10 @@
 
     /// Appends a request; established flows go before new ones.
     pub fn push(&mut self, job: Job) {
-        match job.established {
-            true => self.established.push_back(job),
-            false => self.new.push_back(job),
+        if job.established {
+            self.established.push_back(job)
+        } else {
+            self.new.push_back(job)
         }
     }
 
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -117,9 +117,10 @@
         claim.waiting.values_mut().for_each(|tries| *tries += 1);
         claim.ask(&trace.ask);
         let ask: Vec<VmId> = claim.waiting.keys().copied().collect();
-        match ask.is_empty() {
-            true => self.resolve(shard, key),
-            false => self.ask(key, &ask),
+        if ask.is_empty() {
+            self.resolve(shard, key)
+        } else {
+            self.ask(key, &ask)
         }
     }
 
--- a/crates/policy/tests/configuration/mod.rs
+++ b/crates/policy/tests/configuration/mod.rs
@@ -51,9 +51,10 @@
         let stored = self.network.objects.get(&object.key);
         let read = stored.filter(|it| it.object.generation == expected);
         let version = read.map_or(u64::from(expected > 0) * u64::MAX, |it| it.version);
-        let result = match self.network.put(object, version) {
-            true => "written",
-            false => "conflict",
+        let result = if self.network.put(object, version) {
+            "written"
+        } else {
+            "conflict"
         };
         writeln!(self.output, "{name}: {result}").unwrap();
     }
--- a/crates/policy/tests/harness/caller.rs
+++ b/crates/policy/tests/harness/caller.rs
@@ -61,9 +61,10 @@
             return self.schedule(self.silent_until + pause, Happening::Think { caller });
         }
         let id = self.requests.len() as u64 + 1;
-        let effect = match self.rng.random_bool(self.posts) {
-            true => Effect::NonIdempotent,
-            false => Effect::Idempotent,
+        let effect = if self.rng.random_bool(self.posts) {
+            Effect::NonIdempotent
+        } else {
+            Effect::Idempotent
         };
         let timeout = Duration::from_secs(2).mul_f64(self.rng.random_range(1.0..1.5));
         let one = &mut self.callers[caller];
--- a/crates/policy/tests/harness/mod.rs
+++ b/crates/policy/tests/harness/mod.rs
@@ -425,9 +425,10 @@
         }
         if node.fenced_at + Duration::from_millis(500) <= now {
             node.fenced_at = now;
-            let held = match lacks_fence {
-                true => Duration::from_secs(1 << 30),
-                false => now + fleet::FENCE,
+            let held = if lacks_fence {
+                Duration::from_secs(1 << 30)
+            } else {
+                now + fleet::FENCE
             };
             node.core.set_fence(now, held);
         }
--- a/crates/policy/tests/load/model.rs
+++ b/crates/policy/tests/load/model.rs
@@ -457,9 +457,10 @@
             .requests
             .get(&id)
             .is_some_and(|request| request.is_sent);
-        let result = match is_sent {
-            true => JobResult::TimedOut,
-            false => JobResult::Cancelled,
+        let result = if is_sent {
+            JobResult::TimedOut
+        } else {
+            JobResult::Cancelled
         };
         self.end(id, result);
     }
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -35,7 +35,7 @@
 events! {
     1001 STARTED Info "process" "The balancer has bound its sockets.";
     1002 DRAIN_STARTED Info "drain" "A planned stop has started.";
-    1003 DRAINED Info "drain" "Every flow is handed over and no request is in flight.";
+    1003 DRAINED Info "drain" "No request is in flight, and every flow is handed over or nobody is left to take it.";
     1004 DRAIN_LIMIT Warn "drain" "The limit of a planned stop has passed with work left.";
     1005 STOPPED Info "process" "The balancer has stopped.";
     1006 LINES_LOST Warn "process" "Log lines were dropped because the queue of lines was full.";
