Steer flows by cookies on the users' platform

Cause: the product's own path needs callers that speak CoAP, so nothing served the platform's packets.

Change: crates/steering decides about single packets without I/O, platform/ reads and writes the platform's packets and objects, the command 'steer' runs both. A balancer writes the upstream's cookie into the opening packet, so later packets need no flow table and survive any change of balancers.

--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         apply::Apply, bench::Bench, check::Check, demo::Demo, drain::Drain, emulate, run::Run,
-        status::Status,
+        status::Status, steer::Steer,
     },
     argh::FromArgs,
     derive_more::Display,
@@ -48,6 +48,7 @@
     Emulate(emulate::Emulate),
     Run(Run),
     Status(Status),
+    Steer(Steer),
 }
 
 impl Arguments {
@@ -90,6 +91,7 @@
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
             Command::Status(status) => status.run(),
+            Command::Steer(steer) => steer.run(),
         }
     }
 }
--- a/crates/skylarkflow/src/logs.rs
+++ b/crates/skylarkflow/src/logs.rs
@@ -4,7 +4,7 @@
 //! stop them. Lines that find the queue full are dropped and counted.
 
 use {
-    crate::settings::{Format, Log},
+    crate::settings::{Format, Log, Stream},
     crossbeam::channel::{self, Receiver, Sender, TrySendError},
     fern::{Dispatch, FormatCallback, Output},
     log::{Record, SetLoggerError, kv::Key},
@@ -36,7 +36,10 @@
 pub fn start(settings: &Log) -> io::Result<Writer> {
     let output: Box<dyn Write + Send> = match &settings.file {
         Some(path) => Box::new(OpenOptions::new().append(true).create(true).open(path)?),
-        None => Box::new(io::stderr()),
+        None => match settings.output {
+            Stream::Stderr => Box::new(io::stderr()),
+            Stream::Stdout => Box::new(io::stdout()),
+        },
     };
     let (sender, receiver) = channel::bounded(settings.queue.0);
     dispatch(settings, sender.clone()).map_err(io::Error::other)?;
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -81,6 +81,18 @@
     ConfigAdopted "config.adopted" "objects" "Routes and pools that came into force.";
     PlatformCalls "platform.calls" "calls" "Calls to the platform; a waiting watch counts as one.";
     PlatformFailed "platform.failed" "calls" "Calls to the platform that failed.";
+    Packets "steer.packets" "packets" "Packets of callers that a steering balancer read.";
+    PacketsMalformed "steer.malformed" "packets" "Datagrams dropped because they are no packet of a caller.";
+    PacketsForwarded "steer.forwarded" "packets" "Packets forwarded to upstreams.";
+    PacketsUnknown "steer.unknown_cookie" "packets" "Packets dropped because their cookie names no known upstream.";
+    PacketsEarly "steer.early" "packets" "Packets dropped because no table was in force yet.";
+    Placements "steer.placements" "flows" "Opening packets for which an upstream was chosen.";
+    Replacements "steer.replacements" "flows" "Copies of opening packets for which another upstream was chosen.";
+    Resets "steer.resets" "packets" "Resets sent to callers.";
+    UpstreamsDown "steer.upstreams_down" "changes" "Upstreams that got no new flows because they did not answer.";
+    StoreCalls "store.calls" "calls" "Calls of the store.";
+    StoreFailures "store.failures" "calls" "Calls of the store without a usable answer.";
+    ObjectsMalformed "store.malformed" "objects" "Objects of the store that could not be read.";
     LinesLost "log.lines_lost" "lines" "Log lines dropped because the queue of lines was full.";
 }
 
@@ -91,6 +103,9 @@
     Routes "config.routes" "routes" "Routes in force.";
     Pools "config.pools" "pools" "Pools in force.";
     Flows "flows.open" "flows" "Flow entries of this balancer.";
+    TableVersion "steer.version" "version" "Version of the configuration in force at a steering balancer.";
+    UpstreamsKnown "steer.upstreams" "upstreams" "Upstreams that are registered at the store.";
+    FlowsRecent "steer.flows" "flows" "Flows that lately sent packets through this balancer.";
     InFlight "requests.in_flight" "requests" "Requests dispatched and not yet answered.";
 }
 
--- a/crates/skylarkflow/src/settings.rs
+++ b/crates/skylarkflow/src/settings.rs
@@ -123,8 +123,10 @@
 pub struct Log {
     /// Form of a line.
     pub format: Format,
-    /// File that lines are appended to; standard error if absent.
+    /// File that lines are appended to; the standard output stream of `output` if absent.
     pub file: Option<PathBuf>,
+    /// Stream that lines are written to without a file.
+    pub output: Stream,
     /// Least severe level that is written.
     pub level: Level,
     /// Levels of single targets, such as `flow` or `config`; see the catalogue of events.
@@ -149,6 +151,17 @@
     Json,
 }
 
+/// Stream that log lines are written to.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Stream {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// Severity of a log line.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "lowercase")]
--- /dev/null
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -0,0 +1,228 @@
+//! The thread that forwards packets. It takes no lock that another thread holds for long and allocates nothing.
+
+use {
+    crate::{event, metrics::Counter, metrics::Gauge, steer_state::State},
+    skylarkflow_adapter::layout::{self, HEADER_BYTES, PREFIX_BYTES},
+    skylarkflow_policy::health::Change,
+    skylarkflow_steering::{
+        balancer::{Balancer, Cause, Placement, Refusal, Verdict},
+        cookie::Cookie,
+        segment::Segment,
+        table::Table,
+        upstream::Upstream,
+    },
+    std::{
+        io::{self, ErrorKind},
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Longest datagram that is read; callers send less.
+const DATAGRAM_BYTES: usize = 2_048;
+
+/// Time between two sweeps of old flows, and the longest wait for a packet.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time without a packet after which a flow is forgotten if no configuration says otherwise.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Forwards the packets of one socket.
+pub struct Forwarder {
+    state: Arc<State>,
+    socket: UdpSocket,
+    /// Port on which callers take resets.
+    reset_port: u16,
+    balancer: Balancer,
+    table: Option<Arc<Table>>,
+    generation: u64,
+    next_tick: Duration,
+}
+
+impl Forwarder {
+    /// Creates a forwarder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be set up.
+    pub fn new(state: Arc<State>, socket: UdpSocket, balancer: Balancer) -> io::Result<Forwarder> {
+        socket.set_read_timeout(Some(TICK))?;
+        Ok(Forwarder {
+            reset_port: socket.local_addr()?.port(),
+            state,
+            socket,
+            balancer,
+            table: None,
+            generation: 0,
+            next_tick: Duration::ZERO,
+        })
+    }
+
+    /// Forwards packets until the process ends.
+    pub fn run(mut self) {
+        let mut buffer = [0; PREFIX_BYTES + DATAGRAM_BYTES];
+        while !self.state.is_stopped() {
+            let received = self.socket.recv_from(&mut buffer[PREFIX_BYTES..]);
+            let now = self.state.clock.now();
+            self.refresh();
+            match received {
+                Ok((length, _)) => self.packet(now, &mut buffer[..PREFIX_BYTES + length]),
+                Err(error) if is_timeout(&error) => {}
+                Err(_) => self.state.metrics.count(Counter::SendFailed),
+            }
+            if now >= self.next_tick {
+                self.next_tick = now + TICK;
+                self.tick(now);
+            }
+        }
+    }
+
+    fn refresh(&mut self) {
+        let generation = self.state.generation();
+        if generation == self.generation {
+            return;
+        }
+        if let Some(table) = self.state.try_table() {
+            self.table = table;
+            self.generation = generation;
+        }
+    }
+
+    fn packet(&mut self, now: Duration, datagram: &mut [u8]) {
+        self.state.touch(now);
+        self.state.metrics.count(Counter::Packets);
+        let segment = match layout::decode(&datagram[PREFIX_BYTES..]) {
+            Ok(segment) => segment,
+            Err(malformed) => {
+                self.state.metrics.count(Counter::PacketsMalformed);
+                let text = format_args!("{malformed}");
+                return self
+                    .state
+                    .journal
+                    .record_limited(now, &event::PACKET_MALFORMED, text);
+            }
+        };
+        match self.balancer.handle(now, self.table.as_deref(), &segment) {
+            Verdict::Forward {
+                upstream,
+                cookie,
+                placement,
+            } => {
+                self.forward(datagram, &upstream, cookie);
+                if let Some(placement) = placement {
+                    self.placed(now, &segment, &upstream, &placement);
+                }
+            }
+            Verdict::Reset(refusal) => self.reset(now, &segment, refusal),
+            Verdict::Drop(cause) => self.dropped(now, &segment, cause),
+        }
+    }
+
+    fn forward(&self, datagram: &mut [u8], upstream: &Upstream, cookie: Option<Cookie>) {
+        if let Some(cookie) = cookie {
+            layout::set_cookie(&mut datagram[PREFIX_BYTES..], cookie);
+        }
+        layout::set_prefix(datagram, upstream.record.id);
+        self.send(datagram, upstream.record.address);
+        self.state.metrics.count(Counter::PacketsForwarded);
+    }
+
+    fn reset(&self, now: Duration, segment: &Segment, refusal: Refusal) {
+        let packet: [u8; HEADER_BYTES] = layout::reset(segment);
+        let to = SocketAddr::new(segment.flow.caller.ip(), self.reset_port);
+        self.send(&packet, to);
+        self.state.metrics.count(Counter::Resets);
+        let (caller, service) = (segment.flow.caller, segment.flow.service);
+        let version = self.version();
+        self.state.journal.record_limited(
+            now,
+            &event::FLOW_RESET,
+            format_args!("{caller} to {service}: {refusal:?} in version {version}"),
+        );
+    }
+
+    fn send(&self, datagram: &[u8], to: SocketAddr) {
+        if self.socket.send_to(datagram, to).is_err() {
+            self.state.metrics.count(Counter::SendFailed);
+        }
+    }
+
+    fn placed(&self, now: Duration, segment: &Segment, upstream: &Upstream, placement: &Placement) {
+        let counter = if placement.copy == 0 {
+            Counter::Placements
+        } else {
+            Counter::Replacements
+        };
+        self.state.metrics.count(counter);
+        let (caller, service) = (segment.flow.caller, segment.flow.service);
+        let Placement {
+            version,
+            score,
+            copy,
+        } = placement;
+        let load = upstream.meter.total();
+        self.state.journal.record_limited(
+            now,
+            &event::FLOW_PLACED,
+            format_args!(
+                "{caller} to {service}: upstream {:x} in {}, copy {copy}, score {score:.2}, {} flows, {} requests, \
+                 version {version}",
+                upstream.record.id, upstream.record.zone, load.flows, load.requests
+            ),
+        );
+    }
+
+    fn dropped(&self, now: Duration, segment: &Segment, cause: Cause) {
+        let counter = match cause {
+            Cause::NoTable => Counter::PacketsEarly,
+            Cause::UnknownCookie => Counter::PacketsUnknown,
+        };
+        self.state.metrics.count(counter);
+        let (caller, service) = (segment.flow.caller, segment.flow.service);
+        self.state.journal.record_limited(
+            now,
+            &event::PACKET_DROPPED,
+            format_args!(
+                "{caller} to {service}: {cause:?}, cookie {:08x}",
+                segment.cookie
+            ),
+        );
+    }
+
+    fn tick(&mut self, now: Duration) {
+        let idle = self
+            .table
+            .as_ref()
+            .map_or(DEFAULT_IDLE, |table| table.idle_timeout);
+        for change in self.balancer.tick(now, idle) {
+            self.changed(now, change);
+        }
+        let flows = self.balancer.flows() as u64;
+        self.state.metrics.set(Gauge::FlowsRecent, flows);
+    }
+
+    fn changed(&self, now: Duration, change: Change) {
+        let journal = &self.state.journal;
+        match change {
+            Change::Down(id) => {
+                self.state.metrics.count(Counter::UpstreamsDown);
+                journal.record_limited(now, &event::UPSTREAM_DOWN, format_args!("upstream {id:x}"));
+            }
+            Change::Cold(id) | Change::Up(id) => {
+                journal.record_limited(now, &event::UPSTREAM_UP, format_args!("upstream {id:x}"));
+            }
+        }
+    }
+
+    fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+    )
+}
--- /dev/null
+++ b/crates/skylarkflow/src/steer_http.rs
@@ -0,0 +1,42 @@
+//! The HTTP server of a steering balancer: readiness for routers, metrics for operators.
+
+use {
+    crate::{metrics::Metrics, steer_state::State},
+    axum::{Router, extract, http::StatusCode, routing::get},
+    skylarkflow_adapter::READINESS_PATH,
+    std::{fmt::Write, sync::Arc},
+};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Returns the routes of the server.
+pub fn router(state: Arc<State>) -> Router {
+    Router::new()
+        .route(READINESS_PATH, get(readiness))
+        .route(METRICS_PATH, get(metrics))
+        .with_state(state)
+}
+
+async fn readiness(extract::State(state): extract::State<Arc<State>>) -> StatusCode {
+    if state.phase().is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn metrics(extract::State(state): extract::State<Arc<State>>) -> String {
+    text(&state.metrics)
+}
+
+/// Returns every number, one a line, in the text format of Prometheus.
+fn text(metrics: &Metrics) -> String {
+    let mut text = String::new();
+    for (name, value) in metrics.snapshot() {
+        let name = name.replace('.', "_");
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "skylarkflow_{name} {value}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -0,0 +1,203 @@
+//! Settings of a balancer that steers flows by cookies.
+
+use {
+    crate::settings::{Finding, Log},
+    derive_more::{Display, Error},
+    serde::Deserialize,
+    skylarkflow_steering::{directory, feed, lifecycle},
+    std::{
+        fs, io,
+        net::{Ipv4Addr, SocketAddr},
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// Time kept in reserve between the last chance to exit and the end of the grace time, for the log to be written.
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
+
+/// Settings of a balancer; see [the settings page](../../../docs/settings.md).
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the VM.
+    pub name: String,
+    /// Availability zone of the VM.
+    pub zone: String,
+    /// Address that takes the callers' datagrams; callers get resets on its port.
+    pub datagrams: SocketAddr,
+    /// Address of the HTTP server for readiness and metrics.
+    pub http: SocketAddr,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Ports for messages between balancers.
+    pub peers: Peers,
+    /// Promises of the platform.
+    pub bounds: Bounds,
+    /// Logs.
+    pub log: Log,
+}
+
+/// Ports for messages between balancers, the same on every VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Peers {
+    /// First port.
+    pub first_port: u16,
+    /// Last port.
+    pub last_port: u16,
+}
+
+/// Promises of the platform.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Age in seconds at which a flow may be discarded.
+    pub flow_seconds: f64,
+    /// Time in seconds between the signal to stop and the kill.
+    pub grace_seconds: f64,
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// No file is named.
+    #[display("the variable {_0} does not name a settings file")]
+    #[error(ignore)]
+    Variable(String),
+    /// The file cannot be read.
+    #[display("cannot read the settings {}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The file is not YAML of the expected form.
+    #[display("cannot parse the settings {}: {source}", path.display())]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// The cause, with line and column.
+        source: Box<serde_saphyr::Error>,
+    },
+    /// Values are out of range.
+    #[display("the settings are not usable: {}", list(_0))]
+    #[error(ignore)]
+    Check(Vec<Finding>),
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Settings {
+            name: "balancer".to_owned(),
+            zone: "zone".to_owned(),
+            datagrams: any,
+            http: any,
+            store: SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)),
+            peers: Peers::default(),
+            bounds: Bounds::default(),
+            log: Log::default(),
+        }
+    }
+}
+
+impl Default for Peers {
+    fn default() -> Peers {
+        Peers {
+            first_port: 7200,
+            last_port: 7215,
+        }
+    }
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            flow_seconds: 60.0,
+            grace_seconds: 6.0,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the settings of the directory of upstreams.
+    pub fn directory(&self) -> directory::Settings {
+        directory::Settings {
+            retention: Duration::from_secs_f64(self.bounds.flow_seconds),
+        }
+    }
+
+    /// Returns the settings of a planned stop.
+    pub fn lifecycle(&self) -> lifecycle::Settings {
+        let grace = Duration::from_secs_f64(self.bounds.grace_seconds);
+        lifecycle::Settings {
+            most: grace.saturating_sub(EXIT_RESERVE),
+            ..lifecycle::Settings::default()
+        }
+    }
+
+    /// Returns the settings of the readers of the store.
+    pub fn feed(&self) -> feed::Settings {
+        feed::Settings::default()
+    }
+}
+
+/// Reads and checks settings.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or parsed, or with every finding of [`check`].
+pub fn from_path(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let settings = serde_saphyr::from_str(&text).map_err(|source| Error::Parse {
+        path: path.to_owned(),
+        source: Box::new(source),
+    })?;
+    let findings = check(&settings);
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(Error::Check(findings))
+    }
+}
+
+/// Returns everything that is wrong with settings.
+pub fn check(settings: &Settings) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let mut find = |field, problem: &str| {
+        findings.push(Finding {
+            field,
+            problem: problem.to_owned(),
+        });
+    };
+    if settings.name.is_empty() {
+        find("name", "is empty");
+    }
+    if settings.zone.is_empty() {
+        find("zone", "is empty");
+    }
+    if settings.peers.first_port > settings.peers.last_port {
+        find("peers.first_port", "is above peers.last_port");
+    }
+    let Bounds {
+        flow_seconds,
+        grace_seconds,
+    } = settings.bounds;
+    if !(1.0..=86_400.0).contains(&flow_seconds) {
+        find("bounds.flow_seconds", "is not within 1 to 86400");
+    }
+    if !(1.0..=3_600.0).contains(&grace_seconds) {
+        find("bounds.grace_seconds", "is not within 1 to 3600");
+    }
+    findings
+}
+
+fn list(findings: &[Finding]) -> String {
+    let findings: Vec<String> = findings.iter().map(Finding::to_string).collect();
+    findings.join("; ")
+}
--- /dev/null
+++ b/crates/steering/src/balancer.rs
@@ -0,0 +1,266 @@
+//! Decides about single packets.
+
+use {
+    crate::{
+        cookie::Cookie,
+        placement,
+        segment::{Kind, Segment},
+        table::{Route, Table, Target, Version},
+        tracker::{self, Packet, Sign, Tracker},
+        upstream::{Upstream, UpstreamId},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    skylarkflow_policy::{
+        flow::Key,
+        health::{self, Change, Monitor, Signal},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Settings of a [`Balancer`].
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Availability zone of the balancer.
+    pub zone: String,
+    /// Choice of upstreams.
+    pub placement: placement::Settings,
+    /// Memory of recent flows.
+    pub tracker: tracker::Settings,
+    /// Judgement of upstreams that do not answer.
+    pub health: health::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            zone: String::new(),
+            placement: placement::Settings::default(),
+            tracker: tracker::Settings::default(),
+            health: health::Settings {
+                // A repeated opening packet is rare while its upstream lives, and a wrong verdict costs nothing as long
+                // as other upstreams have room.
+                failures: 1,
+                pause: Duration::from_secs(1),
+                longest_pause: Duration::from_secs(8),
+                ..health::Settings::default()
+            },
+        }
+    }
+}
+
+/// What is done with a packet.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// It goes to an upstream; an opening packet gets a new cookie.
+    Forward {
+        /// The upstream.
+        upstream: Arc<Upstream>,
+        /// The cookie to write, if any.
+        cookie: Option<Cookie>,
+        /// How the upstream was chosen, for an opening packet.
+        placement: Option<Placement>,
+    },
+    /// The caller is told at once that its flow has ended or cannot be opened.
+    Reset(Refusal),
+    /// It is dropped.
+    Drop(Cause),
+}
+
+/// Inputs of a choice, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Score of the upstream, in requests for each slot.
+    pub score: f64,
+    /// Number of the copy of the opening packet.
+    pub copy: u32,
+}
+
+/// Why a caller gets a reset.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// No route has the address.
+    NoRoute,
+    /// The route was removed while the flow was open.
+    RouteRemoved,
+    /// No upstream of the route takes new flows.
+    NoUpstream,
+}
+
+/// Why a packet is dropped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// No configuration is in force yet, so that the address may well have a route.
+    NoTable,
+    /// Its cookie names no known upstream.
+    UnknownCookie,
+}
+
+/// The data path of one balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    tracker: Tracker,
+    monitor: Monitor,
+    rng: SmallRng,
+    changes: Vec<Change>,
+}
+
+impl Balancer {
+    /// Creates a balancer that knows no flow.
+    pub fn new(settings: Settings, seed: u64) -> Balancer {
+        Balancer {
+            tracker: Tracker::new(settings.tracker),
+            monitor: Monitor::new(settings.health),
+            rng: SmallRng::seed_from_u64(seed),
+            changes: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Returns the number of flows that lately sent packets.
+    pub fn flows(&self) -> usize {
+        self.tracker.len()
+    }
+
+    /// Returns whether an upstream gets no new flows because it does not answer.
+    pub fn looks_down(&self, upstream: UpstreamId) -> bool {
+        self.monitor.looks_down(upstream)
+    }
+
+    /// Decides about a packet.
+    pub fn handle(&mut self, now: Duration, table: Option<&Table>, segment: &Segment) -> Verdict {
+        let Some(table) = table else {
+            return Verdict::Drop(Cause::NoTable);
+        };
+        match segment.kind {
+            Kind::Open { copy } => self.open(now, table, segment.flow, copy),
+            Kind::Established { is_last } => self.forward(now, table, segment, is_last),
+            Kind::Reset => self.reset(table, segment),
+        }
+    }
+
+    /// Forgets what has become old and returns the upstreams whose state changed.
+    pub fn tick(&mut self, now: Duration, idle: Duration) -> Vec<Change> {
+        self.tracker.sweep(now, idle);
+        self.monitor.tick(now, &mut self.changes);
+        std::mem::take(&mut self.changes)
+    }
+
+    fn open(&mut self, now: Duration, table: &Table, key: Key, copy: u32) -> Verdict {
+        let Some(route) = table.routes.get(&key.service) else {
+            return Verdict::Reset(Refusal::NoRoute);
+        };
+        let mut avoided = None;
+        if let Some((upstream, last)) = self.tracker.opening(&key) {
+            if copy <= last {
+                return opened(table, Arc::clone(upstream), copy, 0.0);
+            }
+            avoided = Some(Arc::clone(upstream));
+        }
+        if let Some(upstream) = &avoided {
+            self.signal(now, upstream, Signal::TimedOut);
+        }
+        let Some(choice) = self.place(now, table, route) else {
+            return Verdict::Reset(Refusal::NoUpstream);
+        };
+        self.tracker.open(now, key, copy, &choice.upstream);
+        opened(table, choice.upstream, copy, choice.score)
+    }
+
+    fn place(&mut self, now: Duration, table: &Table, route: &Route) -> Option<placement::Choice> {
+        let target = draw(&route.targets, &mut self.rng)?;
+        let upstreams = table.pools.get(&target.pool)?;
+        let monitor = &self.monitor;
+        placement::choose(
+            &self.settings.placement,
+            now,
+            &self.settings.zone,
+            upstreams,
+            |upstream| !monitor.looks_down(upstream.record.id),
+            &mut self.rng,
+        )
+    }
+
+    fn forward(
+        &mut self,
+        now: Duration,
+        table: &Table,
+        segment: &Segment,
+        is_last: bool,
+    ) -> Verdict {
+        if table.removed.contains(&segment.flow.service) {
+            self.tracker.remove(&segment.flow);
+            return Verdict::Reset(Refusal::RouteRemoved);
+        }
+        let Some(upstream) = table.cookies.get(&segment.cookie) else {
+            return Verdict::Drop(Cause::UnknownCookie);
+        };
+        let packet = Packet {
+            key: segment.flow,
+            sequence: segment.sequence,
+            acknowledged: segment.acknowledged,
+            has_data: segment.length > 0,
+            is_last,
+        };
+        match self.tracker.observe(now, &packet, upstream) {
+            Sign::Answered => self.signal(now, upstream, Signal::Answered),
+            Sign::Silent => self.signal(now, upstream, Signal::TimedOut),
+            Sign::None => {}
+        }
+        forward(upstream)
+    }
+
+    fn reset(&mut self, table: &Table, segment: &Segment) -> Verdict {
+        self.tracker.remove(&segment.flow);
+        match table.cookies.get(&segment.cookie) {
+            Some(upstream) => forward(upstream),
+            None => Verdict::Drop(Cause::UnknownCookie),
+        }
+    }
+
+    fn signal(&mut self, now: Duration, upstream: &Upstream, signal: Signal) {
+        let id = upstream.record.id;
+        self.monitor.add(id);
+        self.changes.extend(self.monitor.observe(now, id, signal));
+    }
+}
+
+fn forward(upstream: &Arc<Upstream>) -> Verdict {
+    Verdict::Forward {
+        upstream: Arc::clone(upstream),
+        cookie: None,
+        placement: None,
+    }
+}
+
+fn opened(table: &Table, upstream: Arc<Upstream>, copy: u32, score: f64) -> Verdict {
+    Verdict::Forward {
+        cookie: upstream.cookie,
+        upstream,
+        placement: Some(Placement {
+            version: table.version,
+            score,
+            copy,
+        }),
+    }
+}
+
+/// Draws a pool by weight.
+fn draw<'a>(targets: &'a [Target], rng: &mut SmallRng) -> Option<&'a Target> {
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
+    if let [target] = targets {
+        return Some(target);
+    }
+    if total == 0 {
+        return None;
+    }
+    let mut left = rng.random_range(0..total);
+    targets.iter().find(|target| {
+        let weight = u64::from(target.weight);
+        let is_drawn = left < weight;
+        left = left.saturating_sub(weight);
+        is_drawn
+    })
+}
--- /dev/null
+++ b/crates/steering/src/feed.rs
@@ -0,0 +1,196 @@
+//! When to list a kind of object of the store, when to wait for changes, and when to try again.
+
+use {
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+/// Number of a state of the store; a higher one is newer.
+pub type Revision = u64;
+
+/// Settings of a [`Feed`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Time for which a watch waits for a change.
+    pub wait: Duration,
+    /// Time between the answer to a watch and the next one, so that one answer carries many changes.
+    pub pace: Duration,
+    /// Time before the first retry of a failed call; it doubles with each further failure.
+    pub least_pause: Duration,
+    /// Longest time before a retry; a third of the time in which a change has to be in force.
+    pub most_pause: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            wait: Duration::from_secs(30),
+            pace: Duration::from_millis(100),
+            least_pause: Duration::from_millis(100),
+            most_pause: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A call of the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// List the objects, or the rest of them after a name.
+    List {
+        /// Name of the last object of the page before.
+        after: Option<String>,
+    },
+    /// Wait for a change after a revision.
+    Watch {
+        /// The revision.
+        revision: Revision,
+        /// Longest wait.
+        wait: Duration,
+    },
+}
+
+/// Outcome of a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// A page of a list.
+    Page {
+        /// Revision that the list shows.
+        revision: Revision,
+        /// Name of its last object if there are more.
+        next: Option<String>,
+    },
+    /// Changes up to a revision, or none before the wait ended.
+    Changes {
+        /// The revision.
+        revision: Revision,
+    },
+    /// The store has forgotten the changes after the revision.
+    Gone,
+    /// No usable answer.
+    Failed,
+}
+
+/// Use that is made of the content of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Use {
+    /// A page of a list that goes on.
+    Collect,
+    /// The last page: with those before it, it replaces what was known.
+    Replace,
+    /// Changes of what is known.
+    Apply,
+    /// Nothing.
+    Ignore,
+}
+
+/// Reads one kind of object.
+#[derive(Debug)]
+pub struct Feed {
+    settings: Settings,
+    rng: SmallRng,
+    next: Call,
+    due: Duration,
+    revision: Option<Revision>,
+    listed: Option<Revision>,
+    failures: u32,
+}
+
+impl Feed {
+    /// Creates a feed that lists at once.
+    pub fn new(settings: Settings, seed: u64) -> Feed {
+        Feed {
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            next: Call::List { after: None },
+            due: Duration::ZERO,
+            revision: None,
+            listed: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns the next call and the time at which it is due.
+    pub fn next(&self) -> (Duration, Call) {
+        (self.due, self.next.clone())
+    }
+
+    /// Returns the revision up to which changes are known.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// Returns the number of calls that failed since the last one that did not.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Handles the outcome of a call.
+    pub fn answer(&mut self, now: Duration, answer: Answer) -> Use {
+        match answer {
+            Answer::Page { revision, next } => self.page(now, revision, next),
+            Answer::Changes { revision } => self.changes(now, revision),
+            Answer::Gone => {
+                self.next = Call::List { after: None };
+                self.due = now;
+                Use::Ignore
+            }
+            Answer::Failed => {
+                self.fail(now);
+                Use::Ignore
+            }
+        }
+    }
+
+    fn page(&mut self, now: Duration, revision: Revision, next: Option<String>) -> Use {
+        self.failures = 0;
+        // Changes between two pages are seen by a watch from the revision of the first one.
+        let first = *self.listed.get_or_insert(revision);
+        self.due = now;
+        if let Some(after) = next {
+            self.next = Call::List { after: Some(after) };
+            return Use::Collect;
+        }
+        self.listed = None;
+        if self.revision.is_some_and(|known| first < known) {
+            // An answer that is older than what is known; the store shows the newer state soon.
+            self.next = Call::List { after: None };
+            self.due = now + self.settings.least_pause;
+            return Use::Ignore;
+        }
+        self.watch(now, first);
+        Use::Replace
+    }
+
+    fn changes(&mut self, now: Duration, revision: Revision) -> Use {
+        self.failures = 0;
+        if self.revision.is_some_and(|known| revision < known) {
+            self.next = Call::List { after: None };
+            self.due = now + self.settings.least_pause;
+            return Use::Ignore;
+        }
+        self.watch(now + self.settings.pace, revision);
+        Use::Apply
+    }
+
+    fn watch(&mut self, due: Duration, revision: Revision) {
+        self.revision = Some(revision);
+        self.due = due;
+        self.next = Call::Watch {
+            revision,
+            wait: self.settings.wait,
+        };
+    }
+
+    fn fail(&mut self, now: Duration) {
+        let pause = self
+            .settings
+            .least_pause
+            .saturating_mul(1 << self.failures.min(16))
+            .min(self.settings.most_pause);
+        self.failures += 1;
+        self.due = now + pause.mul_f64(self.rng.random_range(0.75..1.25));
+        if self.listed.take().is_some() {
+            self.next = Call::List { after: None };
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/placement.rs
@@ -0,0 +1,101 @@
+//! Which upstream takes a new flow.
+//!
+//! The load pattern behind it: upstreams with two or three slots, flows that stay for many requests, and crests of
+//! twice the mean load. A flow goes to the upstream that is least busy for its slots, by the flows and requests that all
+//! balancers report. Another zone is used only where it is clearly less busy, since bytes between zones are paid for and
+//! another zone may be out of reach.
+
+use {
+    crate::upstream::Upstream,
+    rand::{Rng, rngs::SmallRng},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Weights of the parts of a score.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Requests that an open flow stands for while it waits for its next one; long flows are busy a tenth of the time.
+    pub flow_weight: f64,
+    /// Score, in requests for each slot, by which an upstream of another zone has to be better.
+    pub zone_margin: f64,
+    /// Share of its slots that an upstream offers while it warms up; it works 1.6 times slower then.
+    pub cold_share: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            flow_weight: 0.1,
+            zone_margin: 0.75,
+            cold_share: 0.6,
+        }
+    }
+}
+
+/// A candidate that was chosen.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Its score, in requests for each slot.
+    pub score: f64,
+}
+
+/// Chooses among `upstreams`, of which `is_usable` tells whether one answers at present.
+///
+/// If none is usable, one is chosen all the same: the signs may be wrong, and a caller loses nothing.
+pub fn choose(
+    settings: &Settings,
+    now: Duration,
+    zone: &str,
+    upstreams: &[Arc<Upstream>],
+    is_usable: impl Fn(&Upstream) -> bool,
+    rng: &mut SmallRng,
+) -> Option<Choice> {
+    least(settings, now, zone, upstreams, &is_usable, rng)
+        .or_else(|| least(settings, now, zone, upstreams, &|_| true, rng))
+}
+
+/// Returns the busy share of an upstream after one more request, in requests for each slot.
+pub fn score(settings: &Settings, now: Duration, upstream: &Upstream) -> f64 {
+    let load = upstream.meter.total();
+    let warmth = if now < upstream.warm_at {
+        settings.cold_share
+    } else {
+        1.0
+    };
+    let slots = f64::from(upstream.record.slots.max(1)) * warmth;
+    (f64::from(load.requests) + f64::from(load.flows) * settings.flow_weight + 1.0) / slots
+}
+
+fn least(
+    settings: &Settings,
+    now: Duration,
+    zone: &str,
+    upstreams: &[Arc<Upstream>],
+    is_usable: &impl Fn(&Upstream) -> bool,
+    rng: &mut SmallRng,
+) -> Option<Choice> {
+    let mut best: Option<(f64, f64, &Arc<Upstream>)> = None;
+    let mut ties = 0;
+    for upstream in upstreams.iter().filter(|upstream| is_usable(upstream)) {
+        let score = score(settings, now, upstream);
+        let is_remote = upstream.record.zone != zone;
+        let cost = score + if is_remote { settings.zone_margin } else { 0.0 };
+        match best {
+            Some((lowest, ..)) if cost > lowest => continue,
+            Some((lowest, ..)) if cost == lowest => {
+                ties += 1;
+                if rng.random_range(0..=ties) > 0 {
+                    continue;
+                }
+            }
+            _ => ties = 0,
+        }
+        best = Some((cost, score, upstream));
+    }
+    best.map(|(_, score, upstream)| Choice {
+        upstream: Arc::clone(upstream),
+        score,
+    })
+}
--- /dev/null
+++ b/crates/steering/src/tracker.rs
@@ -0,0 +1,244 @@
+//! Flows that lately sent packets through this balancer.
+//!
+//! Forwarding does not need them. They tell how busy upstreams are and whether they answer, and may be lost at any
+//! moment.
+
+use {
+    crate::upstream::{Load, Upstream},
+    skylarkflow_policy::{flow::Key, id::Map},
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time after which a repeated packet is a retransmission and not a copy made by the network; callers repeat after
+/// 200 ms.
+const REPEAT_AFTER: Duration = Duration::from_millis(150);
+
+/// Settings of a [`Tracker`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Flows that are remembered; more are forwarded and not counted.
+    pub flows: usize,
+    /// Time for which a flow counts after its end, so that its last packets do not count it again.
+    pub linger: Duration,
+    /// Time without a packet after which a request no longer counts as in flight.
+    pub request_timeout: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            flows: 65_536,
+            linger: Duration::from_secs(3),
+            request_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What a packet says about the upstream of its flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sign {
+    /// It has answered since the packet before.
+    Answered,
+    /// The caller has repeated a packet that it did not acknowledge.
+    Silent,
+    /// Nothing.
+    None,
+}
+
+/// Recent flows of one balancer.
+#[derive(Debug, Default)]
+pub struct Tracker {
+    settings: Settings,
+    flows: Map<Key, Flow>,
+}
+
+#[derive(Debug)]
+struct Flow {
+    upstream: Arc<Upstream>,
+    seen: Duration,
+    phase: Phase,
+    acknowledged: u32,
+    request: Option<Request>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    Opening { copy: u32 },
+    Open,
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    sequence: u32,
+    sent: Duration,
+}
+
+impl Tracker {
+    /// Creates a tracker without flows.
+    pub fn new(settings: Settings) -> Tracker {
+        Tracker {
+            settings,
+            flows: Map::default(),
+        }
+    }
+
+    /// Returns the number of remembered flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns whether no flow is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// Returns the upstream of a flow that is being opened and the number of the last copy of its opening packet.
+    pub fn opening(&self, key: &Key) -> Option<(&Arc<Upstream>, u32)> {
+        let flow = self.flows.get(key)?;
+        match flow.phase {
+            Phase::Opening { copy } => Some((&flow.upstream, copy)),
+            Phase::Open | Phase::Closed => None,
+        }
+    }
+
+    /// Records an opening packet that goes to `upstream`.
+    pub fn open(&mut self, now: Duration, key: Key, copy: u32, upstream: &Arc<Upstream>) {
+        self.remove(&key);
+        if self.flows.len() >= self.settings.flows {
+            return;
+        }
+        add(upstream, 1, 0);
+        let flow = Flow {
+            upstream: Arc::clone(upstream),
+            seen: now,
+            phase: Phase::Opening { copy },
+            acknowledged: 0,
+            request: None,
+        };
+        self.flows.insert(key, flow);
+    }
+
+    /// Records a later packet of a flow, which may have begun at another balancer.
+    pub fn observe(&mut self, now: Duration, segment: &Packet, upstream: &Arc<Upstream>) -> Sign {
+        if !self.flows.contains_key(&segment.key) {
+            self.open(now, segment.key, 0, upstream);
+        }
+        let Some(flow) = self.flows.get_mut(&segment.key) else {
+            return Sign::None;
+        };
+        let sign = flow.observe(now, segment);
+        flow.seen = now;
+        if segment.is_last {
+            flow.close();
+        }
+        sign
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, key: &Key) {
+        if let Some(mut flow) = self.flows.remove(key) {
+            flow.close();
+        }
+    }
+
+    /// Forgets flows that were silent for `idle`, and requests that were silent for long.
+    pub fn sweep(&mut self, now: Duration, idle: Duration) {
+        let settings = self.settings;
+        self.flows.retain(|_, flow| {
+            let silent = now.saturating_sub(flow.seen);
+            let limit = match flow.phase {
+                Phase::Closed => settings.linger,
+                Phase::Opening { .. } => settings.request_timeout,
+                Phase::Open => idle,
+            };
+            if silent >= settings.request_timeout {
+                flow.finish();
+            }
+            if silent >= limit {
+                flow.close();
+            }
+            silent < limit
+        });
+    }
+}
+
+/// A later packet of a flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Packet {
+    /// The flow.
+    pub key: Key,
+    /// Position of the first byte of data.
+    pub sequence: u32,
+    /// Position up to which the caller has received the upstream's stream.
+    pub acknowledged: u32,
+    /// Whether there is data.
+    pub has_data: bool,
+    /// Whether the caller has no more data to send.
+    pub is_last: bool,
+}
+
+impl Flow {
+    fn observe(&mut self, now: Duration, packet: &Packet) -> Sign {
+        match self.phase {
+            Phase::Opening { .. } => {
+                self.phase = Phase::Open;
+                self.acknowledged = packet.acknowledged;
+                self.begin(now, packet);
+                Sign::Answered
+            }
+            Phase::Open => self.advance(now, packet),
+            Phase::Closed => Sign::None,
+        }
+    }
+
+    fn advance(&mut self, now: Duration, packet: &Packet) -> Sign {
+        let is_newer = packet.acknowledged.wrapping_sub(self.acknowledged) as i32 > 0;
+        if is_newer {
+            self.acknowledged = packet.acknowledged;
+            self.finish();
+        }
+        let repeated = self.request.filter(|request| {
+            packet.has_data
+                && request.sequence == packet.sequence
+                && now >= request.sent + REPEAT_AFTER
+        });
+        if repeated.is_some() {
+            return Sign::Silent;
+        }
+        self.begin(now, packet);
+        if is_newer { Sign::Answered } else { Sign::None }
+    }
+
+    fn begin(&mut self, now: Duration, packet: &Packet) {
+        if packet.has_data && self.request.is_none() {
+            self.request = Some(Request {
+                sequence: packet.sequence,
+                sent: now,
+            });
+            add(&self.upstream, 0, 1);
+        }
+    }
+
+    fn finish(&mut self) {
+        if self.request.take().is_some() {
+            add(&self.upstream, 0, -1);
+        }
+    }
+
+    fn close(&mut self) {
+        self.finish();
+        if self.phase != Phase::Closed {
+            self.phase = Phase::Closed;
+            add(&self.upstream, -1, 0);
+        }
+    }
+}
+
+fn add(upstream: &Upstream, flows: i32, requests: i32) {
+    let load = upstream.meter.local();
+    upstream.meter.set_local(Load {
+        flows: load.flows.saturating_add_signed(flows),
+        requests: load.requests.saturating_add_signed(requests),
+    });
+}
--- /dev/null
+++ b/crates/steering/src/upstream.rs
@@ -0,0 +1,122 @@
+//! One upstream as all threads of a balancer share it.
+
+use {
+    crate::cookie::Cookie,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// Identifies an upstream; its datagrams carry the same number.
+pub type UpstreamId = u64;
+
+/// Name of a pool of upstreams.
+pub type PoolName = String;
+
+/// Name of an availability zone.
+pub type ZoneName = String;
+
+/// Whether an upstream takes new flows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// Takes new flows.
+    Ready,
+    /// Finishes its open flows and leaves.
+    Draining,
+}
+
+/// An upstream as it registered itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Record {
+    /// Identifier.
+    pub id: UpstreamId,
+    /// Pool that it serves.
+    pub pool: PoolName,
+    /// Address that takes datagrams.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it takes new flows.
+    pub state: State,
+    /// Time for which it remains slow after its start.
+    pub warmup: Duration,
+    /// Start in Unix milliseconds.
+    pub born: u64,
+}
+
+/// Work of an upstream, in flows and requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Open flows.
+    pub flows: u32,
+    /// Requests that were sent and not yet answered.
+    pub requests: u32,
+}
+
+/// An upstream in a table.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What it registered.
+    pub record: Record,
+    /// Cookie of its flows; `None` if all of its cookies belong to others, so that it takes no new flows.
+    pub cookie: Option<Cookie>,
+    /// Time on the balancer's clock from which it is as fast as the others.
+    pub warm_at: Duration,
+    /// Its load, which outlives changes of the table.
+    pub meter: Arc<Meter>,
+}
+
+/// Load of an upstream, written by the thread that handles packets and by the one that hears other balancers.
+#[derive(Debug, Default)]
+pub struct Meter {
+    flows: AtomicU32,
+    requests: AtomicU32,
+    remote_flows: AtomicU32,
+    remote_requests: AtomicU32,
+}
+
+impl Meter {
+    /// Returns the load that this balancer has placed.
+    pub fn local(&self) -> Load {
+        Load {
+            flows: self.flows.load(Ordering::Relaxed),
+            requests: self.requests.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Sets the load that this balancer has placed.
+    pub fn set_local(&self, load: Load) {
+        self.flows.store(load.flows, Ordering::Relaxed);
+        self.requests.store(load.requests, Ordering::Relaxed);
+    }
+
+    /// Returns the load that other balancers have reported.
+    pub fn remote(&self) -> Load {
+        Load {
+            flows: self.remote_flows.load(Ordering::Relaxed),
+            requests: self.remote_requests.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Sets the load that other balancers have reported.
+    pub fn set_remote(&self, load: Load) {
+        self.remote_flows.store(load.flows, Ordering::Relaxed);
+        self.remote_requests.store(load.requests, Ordering::Relaxed);
+    }
+
+    /// Returns the load of all balancers.
+    pub fn total(&self) -> Load {
+        let (local, remote) = (self.local(), self.remote());
+        Load {
+            flows: local.flows.saturating_add(remote.flows),
+            requests: local.requests.saturating_add(remote.requests),
+        }
+    }
+}
