--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -89,6 +89,8 @@
     5107 UPSTREAM_REMOVED Info "upstream" "The entry of an upstream is gone.";
     5108 UPSTREAM_DOWN Info "upstream" "An upstream does not answer and gets no new flows for a while.";
     5109 UPSTREAM_UP Info "upstream" "An upstream gets new flows again.";
+    5110 UPSTREAM_ENDED Warn "upstream" "An upstream has ended or is out of reach by a probe; its flows are reset.";
+    5111 UPSTREAM_RESTORED Info "upstream" "An upstream that had ended or was out of reach answers again.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member" "Non-idempotent requests wait for a majority of the zone.";
     6003 FENCE_HELD Info "member" "This balancer hears from a majority of its zone.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -90,6 +90,7 @@
     Replacements "steer.replacements" "flows" "Copies of opening packets for which another upstream was chosen.";
     Resets "steer.resets" "packets" "Resets sent to callers.";
     UpstreamsDown "steer.upstreams_down" "changes" "Upstreams that got no new flows because they did not answer.";
+    Probes "steer.probes" "probes" "Probes of upstreams that may have ended.";
     StoreCalls "store.calls" "calls" "Calls of the store.";
     StoreFailures "store.failures" "calls" "Calls of the store without a usable answer.";
     ObjectsMalformed "store.malformed" "objects" "Objects of the store that could not be read.";
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -80,8 +80,7 @@
 
     fn publish(&self) {
         let contents = self.contents();
-        let view = contents.directory.view();
-        let Some(table) = contents.routes.table(view.pools, view.cookies) else {
+        let Some(table) = contents.routes.table(contents.directory.view()) else {
             return;
         };
         let metrics = &self.state.metrics;
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -9,9 +9,11 @@
         steer_control::{self, EXPIRE_INTERVAL, Kind, Sources},
         steer_data::Forwarder,
         steer_http,
+        steer_probe::{self, Waker},
         steer_settings::{self, Settings},
         steer_state::State,
     },
+    crossbeam::channel,
     derive_more::{Display, Error, From},
     skylarkflow_adapter::client::{self, Store},
     skylarkflow_steering::{
@@ -32,6 +34,7 @@
         net::TcpListener,
         runtime,
         signal::unix::{Signal, SignalKind, signal},
+        sync::mpsc,
         time,
     },
 };
@@ -64,13 +67,24 @@
     let phase = Phase::Starting(Starting::new(settings.lifecycle()));
     let state = Arc::new(State::new(journal, metrics, phase));
     let socket = UdpSocket::bind(settings.datagrams)?;
-    let forwarder = Forwarder::new(Arc::clone(&state), socket, balancer(&settings, &state))?;
+    let waker = Waker::new(&socket)?;
+    let (probe_sender, probes) = mpsc::unbounded_channel();
+    let (reports, report_receiver) = channel::unbounded();
+    let forwarder = Forwarder::new(
+        Arc::clone(&state),
+        socket,
+        balancer(&settings, &state),
+        (probe_sender, report_receiver),
+    )?;
     let thread = thread::Builder::new().name("packets".to_owned());
     let thread = thread.spawn(move || forwarder.run())?;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let result = runtime.block_on(control(Arc::clone(&state), settings, &path));
+    let result = runtime.block_on(async {
+        tokio::spawn(steer_probe::serve(Arc::clone(&state), probes, reports, waker));
+        control(Arc::clone(&state), settings, &path).await
+    });
     state.stop();
     // The thread ends within its longest wait for a packet; a panic there has been reported.
     let _ = thread.join();
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -1,13 +1,19 @@
 //! The thread that forwards packets. It takes no lock that another thread holds for long and allocates nothing.
 
 use {
-    crate::{event, metrics::Counter, metrics::Gauge, steer_state::State},
+    crate::{
+        event,
+        metrics::{Counter, Gauge},
+        steer_probe::{Probe, Report},
+        steer_state::State,
+    },
+    crossbeam::channel::Receiver,
     skylarkflow_adapter::layout::{self, HEADER_BYTES, PREFIX_BYTES},
-    skylarkflow_policy::health::Change,
+    skylarkflow_policy::{flow::Key, health::Change},
     skylarkflow_steering::{
-        balancer::{Balancer, Cause, Placement, Refusal, Verdict},
+        balancer::{Action, Balancer, Cause, Placement, Refusal, Verdict},
         cookie::Cookie,
-        segment::Segment,
+        segment::{Kind, Segment},
         table::Table,
         upstream::Upstream,
     },
@@ -17,6 +23,7 @@
         sync::Arc,
         time::Duration,
     },
+    tokio::sync::mpsc::UnboundedSender as Sender,
 };
 
 /// Longest datagram that is read; callers send less.
@@ -25,9 +32,6 @@
 /// Time between two sweeps of old flows, and the longest wait for a packet.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Time without a packet after which a flow is forgotten if no configuration says otherwise.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-
 /// Forwards the packets of one socket.
 pub struct Forwarder {
     state: Arc<State>,
@@ -38,6 +42,8 @@
     table: Option<Arc<Table>>,
     generation: u64,
     next_tick: Duration,
+    probes: Sender<Probe>,
+    reports: Receiver<Report>,
 }
 
 impl Forwarder {
@@ -46,7 +52,12 @@
     /// # Errors
     ///
     /// Fails if the socket cannot be set up.
-    pub fn new(state: Arc<State>, socket: UdpSocket, balancer: Balancer) -> io::Result<Forwarder> {
+    pub fn new(
+        state: Arc<State>,
+        socket: UdpSocket,
+        balancer: Balancer,
+        (probes, reports): (Sender<Probe>, Receiver<Report>),
+    ) -> io::Result<Forwarder> {
         socket.set_read_timeout(Some(TICK))?;
         Ok(Forwarder {
             reset_port: socket.local_addr()?.port(),
@@ -56,6 +67,8 @@
             table: None,
             generation: 0,
             next_tick: Duration::ZERO,
+            probes,
+            reports,
         })
     }
 
@@ -65,8 +78,11 @@
         while !self.state.is_stopped() {
             let received = self.socket.recv_from(&mut buffer[PREFIX_BYTES..]);
             let now = self.state.clock.now();
-            self.refresh();
+            self.refresh(now);
+            self.take_reports();
             match received {
+                // An empty datagram only wakes this thread.
+                Ok((0, _)) => {}
                 Ok((length, _)) => self.packet(now, &mut buffer[..PREFIX_BYTES + length]),
                 Err(error) if is_timeout(&error) => {}
                 Err(_) => self.state.metrics.count(Counter::SendFailed),
@@ -75,20 +91,29 @@
                 self.next_tick = now + TICK;
                 self.tick(now);
             }
+            self.perform(now);
         }
     }
 
-    fn refresh(&mut self) {
+    fn refresh(&mut self, now: Duration) {
         let generation = self.state.generation();
         if generation == self.generation {
             return;
         }
-        if let Some(table) = self.state.try_table() {
-            self.table = table;
+        if let Some(Some(table)) = self.state.try_table() {
+            self.balancer.refresh(now, self.table.as_deref(), &table);
+            self.table = Some(table);
             self.generation = generation;
         }
     }
 
+    fn take_reports(&mut self) {
+        while let Ok(Report { id, sent, outcome }) = self.reports.try_recv() {
+            self.balancer
+                .probed(self.table.as_deref(), sent, id, outcome);
+        }
+    }
+
     fn packet(&mut self, now: Duration, datagram: &mut [u8]) {
         self.state.touch(now);
         self.state.metrics.count(Counter::Packets);
@@ -190,14 +215,50 @@
         );
     }
 
-    fn tick(&mut self, now: Duration) {
-        let idle = self
-            .table
-            .as_ref()
-            .map_or(DEFAULT_IDLE, |table| table.idle_timeout);
-        for change in self.balancer.tick(now, idle) {
-            self.changed(now, change);
+    fn perform(&mut self, now: Duration) {
+        for action in self.balancer.take_actions() {
+            match action {
+                Action::Probe(upstream) => self.probe(now, &upstream),
+                Action::Reset { key, acknowledged } => self.end(key, acknowledged),
+                Action::Severed { id, outcome, flows } => self.state.journal.record(
+                    &event::UPSTREAM_ENDED,
+                    format_args!("upstream {id:x}: probe {outcome:?}; {flows} flows are reset"),
+                ),
+                Action::Restored(id) => self
+                    .state
+                    .journal
+                    .record(&event::UPSTREAM_RESTORED, format_args!("upstream {id:x}")),
+                Action::Changed(change) => self.changed(now, change),
+            }
         }
+    }
+
+    fn probe(&self, now: Duration, upstream: &Upstream) {
+        let probe = Probe {
+            id: upstream.record.id,
+            address: upstream.record.address,
+            sent: now,
+        };
+        // The receiver only ends with the process.
+        let _ = self.probes.send(probe);
+    }
+
+    fn end(&self, key: Key, acknowledged: u32) {
+        let segment = Segment {
+            flow: key,
+            kind: Kind::Reset,
+            cookie: 0,
+            sequence: 0,
+            acknowledged,
+            length: 0,
+        };
+        let to = SocketAddr::new(key.caller.ip(), self.reset_port);
+        self.send(&layout::reset(&segment), to);
+        self.state.metrics.count(Counter::Resets);
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.balancer.tick(now, self.table.as_deref());
         let flows = self.balancer.flows() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
     }
--- /dev/null
+++ b/crates/skylarkflow/src/steer_probe.rs
@@ -0,0 +1,144 @@
+//! Probes of upstreams that may have ended.
+
+use {
+    crate::{metrics::Counter, steer_state::State},
+    crossbeam::channel::Sender,
+    reqwest::Client,
+    skylarkflow_adapter::{HEALTH_PATH, UPSTREAM_HEADER, object},
+    skylarkflow_steering::{liveness::Outcome, upstream::UpstreamId},
+    std::{
+        error::Error,
+        io,
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{sync::mpsc::UnboundedReceiver, time},
+};
+
+/// Time that an upstream has to answer a probe: 70 times the longest round trip between zones, and twice the longest
+/// pause of a balancer whose share of a core is a quota for each tenth of a second.
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time between the two attempts of a probe, so that one lost packet decides nothing.
+const STAGGER: Duration = Duration::from_millis(50);
+
+/// A probe to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time of the request on the balancer's clock.
+    pub sent: Duration,
+}
+
+/// Outcome of a probe.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Time of the request on the balancer's clock.
+    pub sent: Duration,
+    /// What came back.
+    pub outcome: Outcome,
+}
+
+/// Wakes the thread that reads a socket.
+#[derive(Debug)]
+pub struct Waker {
+    socket: UdpSocket,
+}
+
+impl Waker {
+    /// Creates a waker of the thread that reads `socket`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened.
+    pub fn new(socket: &UdpSocket) -> io::Result<Waker> {
+        let address = socket.local_addr()?;
+        let socket = UdpSocket::bind((address.ip(), 0))?;
+        socket.connect(address)?;
+        socket.set_nonblocking(true)?;
+        Ok(Waker { socket })
+    }
+
+    /// Wakes the thread; it wakes by itself soon if that fails.
+    pub fn wake(&self) {
+        let _ = self.socket.send(&[]);
+    }
+}
+
+/// Makes the probes that are asked for.
+pub async fn serve(
+    state: Arc<State>,
+    mut probes: UnboundedReceiver<Probe>,
+    reports: Sender<Report>,
+    waker: Waker,
+) {
+    let waker = Arc::new(waker);
+    // A connection of its own for each probe, since an open one may have gone silent.
+    let client = Client::builder().no_proxy().pool_max_idle_per_host(0).build();
+    let Ok(client) = client else {
+        return;
+    };
+    while let Some(Probe { id, address, sent }) = probes.recv().await {
+        state.metrics.count(Counter::Probes);
+        let (client, reports, waker) = (client.clone(), reports.clone(), Arc::clone(&waker));
+        tokio::spawn(async move {
+            let outcome = probe(&client, id, address).await;
+            // The receiver only ends with the process.
+            let _ = reports.send(Report { id, sent, outcome });
+            waker.wake();
+        });
+    }
+}
+
+async fn probe(client: &Client, id: UpstreamId, address: SocketAddr) -> Outcome {
+    let second = async {
+        time::sleep(STAGGER).await;
+        attempt(client, id, address).await
+    };
+    let first = attempt(client, id, address);
+    tokio::pin!(first, second);
+    tokio::select! {
+        outcome = &mut first => conclude(outcome, second).await,
+        outcome = &mut second => conclude(outcome, first).await,
+    }
+}
+
+async fn conclude(outcome: Outcome, other: impl Future<Output = Outcome>) -> Outcome {
+    match outcome {
+        Outcome::Answered => outcome,
+        _ => outcome.or(other.await),
+    }
+}
+
+async fn attempt(client: &Client, id: UpstreamId, address: SocketAddr) -> Outcome {
+    let url = format!("http://{address}{HEALTH_PATH}");
+    let response = match client.get(url).timeout(TIMEOUT).send().await {
+        Ok(response) => response,
+        Err(error) if is_refused(&error) => return Outcome::Refused,
+        Err(_) => return Outcome::TimedOut,
+    };
+    let name = response.headers().get(UPSTREAM_HEADER);
+    let name = name.and_then(|name| name.to_str().ok());
+    match name.and_then(object::upstream_id) {
+        Some(other) if other != id => Outcome::Stranger,
+        _ => Outcome::Answered,
+    }
+}
+
+fn is_refused(error: &reqwest::Error) -> bool {
+    let mut cause: Option<&(dyn Error + 'static)> = error.source();
+    while let Some(current) = cause {
+        let io = current.downcast_ref::<io::Error>();
+        if io.is_some_and(|io| io.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = current.source();
+    }
+    false
+}
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cookie::Cookie,
+        liveness::{self, Outcome, Register},
         placement,
         segment::{Kind, Segment},
         table::{Route, Table, Target, Version},
@@ -13,10 +14,14 @@
     skylarkflow_policy::{
         flow::Key,
         health::{self, Change, Monitor, Signal},
+        id::Set,
     },
-    std::{sync::Arc, time::Duration},
+    std::{mem, sync::Arc, time::Duration},
 };
 
+/// Time without a packet after which a flow is forgotten if no configuration says otherwise.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -26,8 +31,10 @@
     pub placement: placement::Settings,
     /// Memory of recent flows.
     pub tracker: tracker::Settings,
-    /// Judgement of upstreams that do not answer.
+    /// Judgement of upstreams that do not answer opening packets.
     pub health: health::Settings,
+    /// Judgement of upstreams that may have ended.
+    pub liveness: liveness::Settings,
 }
 
 impl Default for Settings {
@@ -44,6 +51,7 @@
                 longest_pause: Duration::from_secs(8),
                 ..health::Settings::default()
             },
+            liveness: liveness::Settings::default(),
         }
     }
 }
@@ -86,6 +94,35 @@
     RouteRemoved,
     /// No upstream of the route takes new flows.
     NoUpstream,
+    /// The upstream of the flow has ended.
+    UpstreamEnded,
+}
+
+/// Something that a balancer has to do besides answering a packet.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Probe an upstream and report the outcome to [`Balancer::probed`].
+    Probe(Arc<Upstream>),
+    /// Tell a caller that its flow has ended.
+    Reset {
+        /// The flow.
+        key: Key,
+        /// Position that the caller has acknowledged.
+        acknowledged: u32,
+    },
+    /// An upstream has ended and its flows are reset.
+    Severed {
+        /// The upstream.
+        id: UpstreamId,
+        /// Evidence.
+        outcome: Outcome,
+        /// Flows that were open here.
+        flows: usize,
+    },
+    /// An upstream that had ended is back.
+    Restored(UpstreamId),
+    /// An upstream gets no new flows, or gets them again.
+    Changed(Change),
 }
 
 /// Why a packet is dropped.
@@ -103,8 +140,10 @@
     settings: Settings,
     tracker: Tracker,
     monitor: Monitor,
+    register: Register,
     rng: SmallRng,
     changes: Vec<Change>,
+    actions: Vec<Action>,
 }
 
 impl Balancer {
@@ -114,7 +153,9 @@
             tracker: Tracker::new(settings.tracker),
             monitor: Monitor::new(settings.health),
             rng: SmallRng::seed_from_u64(seed),
+            register: Register::new(settings.liveness),
             changes: Vec::new(),
+            actions: Vec::new(),
             settings,
         }
     }
@@ -126,7 +167,46 @@
 
     /// Returns whether an upstream gets no new flows because it does not answer.
     pub fn looks_down(&self, upstream: UpstreamId) -> bool {
-        self.monitor.looks_down(upstream)
+        self.monitor.looks_down(upstream) || self.register.is_dead(upstream)
+    }
+
+    /// Returns and forgets what is to be done besides answering packets.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        mem::take(&mut self.actions)
+    }
+
+    /// Compares a new table with the one before.
+    pub fn refresh(&mut self, now: Duration, before: Option<&Table>, table: &Table) {
+        for upstream in table.cookies.values() {
+            let id = upstream.record.id;
+            let was_registered = before.is_some_and(|before| before.is_registered(upstream));
+            match table.holder(upstream) {
+                Some(holder) if holder == id && !was_registered => self.register.registered(id),
+                Some(holder) if holder != id => self.register.replaced(id),
+                None if was_registered && self.tracker.has_flows(upstream) => {
+                    self.register.removed(now, id);
+                }
+                _ => {}
+            }
+        }
+        let gone = before.into_iter().flat_map(|before| before.cookies.iter());
+        for (_, upstream) in gone.filter(|(cookie, _)| !table.cookies.contains_key(cookie)) {
+            self.register.forget(upstream.record.id);
+            self.monitor.remove(upstream.record.id);
+        }
+        self.settle(Some(table));
+    }
+
+    /// Takes the outcome of a probe that was sent at `sent`.
+    pub fn probed(
+        &mut self,
+        table: Option<&Table>,
+        sent: Duration,
+        id: UpstreamId,
+        outcome: Outcome,
+    ) {
+        self.register.probed(sent, id, outcome);
+        self.settle(table);
     }
 
     /// Decides about a packet.
@@ -141,11 +221,48 @@
         }
     }
 
-    /// Forgets what has become old and returns the upstreams whose state changed.
-    pub fn tick(&mut self, now: Duration, idle: Duration) -> Vec<Change> {
+    /// Forgets what has become old and probes upstreams that may be back.
+    pub fn tick(&mut self, now: Duration, table: Option<&Table>) {
+        let idle = table.map_or(DEFAULT_IDLE, |table| table.idle_timeout);
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
-        std::mem::take(&mut self.changes)
+        if let Some(table) = table {
+            let registered: Set<UpstreamId> = table.addresses.values().copied().collect();
+            self.register.tick(now, |id| registered.contains(&id));
+        }
+        self.settle(table);
+    }
+
+    /// Turns the findings about upstreams into actions.
+    fn settle(&mut self, table: Option<&Table>) {
+        let changes = self.changes.drain(..).map(Action::Changed);
+        self.actions.extend(changes);
+        for action in self.register.take_actions() {
+            match action {
+                liveness::Action::Probe(id) => {
+                    let mut known = table.into_iter().flat_map(|table| table.cookies.values());
+                    match known.find(|upstream| upstream.record.id == id) {
+                        Some(upstream) => self.actions.push(Action::Probe(Arc::clone(upstream))),
+                        None => self.register.forget(id),
+                    }
+                }
+                liveness::Action::Sever(id, outcome) => self.sever(id, outcome),
+                liveness::Action::Restore(id) => self.actions.push(Action::Restored(id)),
+            }
+        }
+    }
+
+    fn sever(&mut self, id: UpstreamId, outcome: Outcome) {
+        let open = self.tracker.take(id);
+        self.actions.push(Action::Severed {
+            id,
+            outcome,
+            flows: open.len(),
+        });
+        let resets = open
+            .into_iter()
+            .map(|(key, acknowledged)| Action::Reset { key, acknowledged });
+        self.actions.extend(resets);
     }
 
     fn open(&mut self, now: Duration, table: &Table, key: Key, copy: u32) -> Verdict {
@@ -161,6 +278,8 @@
         }
         if let Some(upstream) = &avoided {
             self.signal(now, upstream, Signal::TimedOut);
+            self.register.silent(now, upstream.record.id);
+            self.settle(Some(table));
         }
         let Some(choice) = self.place(now, table, route) else {
             return Verdict::Reset(Refusal::NoUpstream);
@@ -172,13 +291,16 @@
     fn place(&mut self, now: Duration, table: &Table, route: &Route) -> Option<placement::Choice> {
         let target = draw(&route.targets, &mut self.rng)?;
         let upstreams = table.pools.get(&target.pool)?;
-        let monitor = &self.monitor;
+        let (monitor, register) = (&self.monitor, &self.register);
         placement::choose(
             &self.settings.placement,
             now,
             &self.settings.zone,
             upstreams,
-            |upstream| !monitor.looks_down(upstream.record.id),
+            |upstream| {
+                let id = upstream.record.id;
+                !monitor.looks_down(id) && !register.is_dead(id)
+            },
             &mut self.rng,
         )
     }
@@ -197,6 +319,11 @@
         let Some(upstream) = table.cookies.get(&segment.cookie) else {
             return Verdict::Drop(Cause::UnknownCookie);
         };
+        let id = upstream.record.id;
+        if self.register.is_dead(id) {
+            self.tracker.remove(&segment.flow);
+            return Verdict::Reset(Refusal::UpstreamEnded);
+        }
         let packet = Packet {
             key: segment.flow,
             sequence: segment.sequence,
@@ -205,8 +332,14 @@
             is_last,
         };
         match self.tracker.observe(now, &packet, upstream) {
-            Sign::Answered => self.signal(now, upstream, Signal::Answered),
-            Sign::Silent => self.signal(now, upstream, Signal::TimedOut),
+            Sign::Answered => {
+                self.signal(now, upstream, Signal::Answered);
+                self.register.answered(now, id);
+            }
+            Sign::Silent => {
+                self.register.silent(now, id);
+                self.settle(Some(table));
+            }
             Sign::None => {}
         }
         forward(upstream)
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -11,7 +11,7 @@
         upstream::{Meter, PoolName, Record, Upstream, UpstreamId},
     },
     skylarkflow_policy::id::Map,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Settings of a [`Directory`].
@@ -52,6 +52,8 @@
     pub pools: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
     /// All upstreams that open flows may have, by cookie.
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
+    /// Addresses of the registered upstreams.
+    pub addresses: Arc<Map<SocketAddr, UpstreamId>>,
 }
 
 impl Directory {
@@ -155,7 +157,9 @@
             }
         }
         ready.sort_unstable_by_key(|upstream| upstream.record.id);
+        let address = |upstream: &Arc<Upstream>| (upstream.record.address, upstream.record.id);
         View {
+            addresses: Arc::new(ready.iter().map(address).collect()),
             pools: Arc::new(table::group(ready.iter())),
             cookies: Arc::new(cookies),
         }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod feed;
 pub mod lifecycle;
+pub mod liveness;
 pub mod placement;
 pub mod segment;
 pub mod table;
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         cookie::Cookie,
-        upstream::{PoolName, State, Upstream},
+        directory::View,
+        upstream::{PoolName, State, Upstream, UpstreamId},
     },
     skylarkflow_policy::id::{Map, Set},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -58,6 +59,20 @@
     pub pools: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
     /// All upstreams that open flows may have, by cookie.
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
+    /// Addresses of the registered upstreams.
+    pub addresses: Arc<Map<SocketAddr, UpstreamId>>,
+}
+
+impl Table {
+    /// Returns whether the entry of an upstream exists.
+    pub fn is_registered(&self, upstream: &Upstream) -> bool {
+        self.holder(upstream) == Some(upstream.record.id)
+    }
+
+    /// Returns the registered upstream that has the address of this one.
+    pub fn holder(&self, upstream: &Upstream) -> Option<UpstreamId> {
+        self.addresses.get(&upstream.record.address).copied()
+    }
 }
 
 /// The newest configuration and what it has replaced.
@@ -118,19 +133,16 @@
     }
 
     /// Joins the routes with the upstreams; `None` before the first configuration.
-    pub fn table(
-        &self,
-        ready: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
-        cookies: Arc<Map<Cookie, Arc<Upstream>>>,
-    ) -> Option<Table> {
+    pub fn table(&self, view: View) -> Option<Table> {
         let config = self.config.as_ref()?;
         Some(Table {
             version: config.version,
             idle_timeout: config.idle_timeout,
             routes: Arc::clone(&self.routes),
             removed: Arc::clone(&self.removed),
-            pools: ready,
-            cookies,
+            pools: view.pools,
+            cookies: view.cookies,
+            addresses: view.addresses,
         })
     }
 }
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -4,7 +4,7 @@
 //! moment.
 
 use {
-    crate::upstream::{Load, Upstream},
+    crate::upstream::{Load, Upstream, UpstreamId},
     skylarkflow_policy::{flow::Key, id::Map},
     std::{sync::Arc, time::Duration},
 };
@@ -105,24 +105,14 @@
     /// Records an opening packet that goes to `upstream`.
     pub fn open(&mut self, now: Duration, key: Key, copy: u32, upstream: &Arc<Upstream>) {
         self.remove(&key);
-        if self.flows.len() >= self.settings.flows {
-            return;
-        }
-        add(upstream, 1, 0);
-        let flow = Flow {
-            upstream: Arc::clone(upstream),
-            seen: now,
-            phase: Phase::Opening { copy },
-            acknowledged: 0,
-            request: None,
-        };
-        self.flows.insert(key, flow);
+        self.insert(now, key, Phase::Opening { copy }, 0, upstream);
     }
 
     /// Records a later packet of a flow, which may have begun at another balancer.
     pub fn observe(&mut self, now: Duration, segment: &Packet, upstream: &Arc<Upstream>) -> Sign {
         if !self.flows.contains_key(&segment.key) {
-            self.open(now, segment.key, 0, upstream);
+            // The flow was opened at another balancer, so its packet says nothing about the upstream.
+            self.insert(now, segment.key, Phase::Open, segment.acknowledged, upstream);
         }
         let Some(flow) = self.flows.get_mut(&segment.key) else {
             return Sign::None;
@@ -135,6 +125,23 @@
         sign
     }
 
+    /// Forgets the open flows of an upstream and returns each with the position that its caller has acknowledged.
+    pub fn take(&mut self, id: UpstreamId) -> Vec<(Key, u32)> {
+        let open = self.flows.iter().filter(|(_, flow)| {
+            flow.upstream.record.id == id && flow.phase != Phase::Closed
+        });
+        let open: Vec<(Key, u32)> = open.map(|(key, flow)| (*key, flow.acknowledged)).collect();
+        for (key, _) in &open {
+            self.remove(key);
+        }
+        open
+    }
+
+    /// Returns whether an upstream has open flows.
+    pub fn has_flows(&self, upstream: &Upstream) -> bool {
+        upstream.meter.local().flows > 0
+    }
+
     /// Forgets a flow.
     pub fn remove(&mut self, key: &Key) {
         if let Some(mut flow) = self.flows.remove(key) {
@@ -142,6 +149,28 @@
         }
     }
 
+    fn insert(
+        &mut self,
+        now: Duration,
+        key: Key,
+        phase: Phase,
+        acknowledged: u32,
+        upstream: &Arc<Upstream>,
+    ) {
+        if self.flows.len() >= self.settings.flows {
+            return;
+        }
+        add(upstream, 1, 0);
+        let flow = Flow {
+            upstream: Arc::clone(upstream),
+            seen: now,
+            phase,
+            acknowledged,
+            request: None,
+        };
+        self.flows.insert(key, flow);
+    }
+
     /// Forgets flows that were silent for `idle`, and requests that were silent for long.
     pub fn sweep(&mut self, now: Duration, idle: Duration) {
         let settings = self.settings;
