--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -82,7 +82,12 @@
         .enable_all()
         .build()?;
     let result = runtime.block_on(async {
-        tokio::spawn(steer_probe::serve(Arc::clone(&state), probes, reports, waker));
+        tokio::spawn(steer_probe::serve(
+            Arc::clone(&state),
+            probes,
+            reports,
+            waker,
+        ));
         control(Arc::clone(&state), settings, &path).await
     });
     state.stop();
--- a/crates/skylarkflow/src/steer_probe.rs
+++ b/crates/skylarkflow/src/steer_probe.rs
@@ -80,7 +80,10 @@
 ) {
     let waker = Arc::new(waker);
     // A connection of its own for each probe, since an open one may have gone silent.
-    let client = Client::builder().no_proxy().pool_max_idle_per_host(0).build();
+    let client = Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0)
+        .build();
     let Ok(client) = client else {
         return;
     };
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -112,7 +112,13 @@
     pub fn observe(&mut self, now: Duration, segment: &Packet, upstream: &Arc<Upstream>) -> Sign {
         if !self.flows.contains_key(&segment.key) {
             // The flow was opened at another balancer, so its packet says nothing about the upstream.
-            self.insert(now, segment.key, Phase::Open, segment.acknowledged, upstream);
+            self.insert(
+                now,
+                segment.key,
+                Phase::Open,
+                segment.acknowledged,
+                upstream,
+            );
         }
         let Some(flow) = self.flows.get_mut(&segment.key) else {
             return Sign::None;
@@ -127,9 +133,10 @@
 
     /// Forgets the open flows of an upstream and returns each with the position that its caller has acknowledged.
     pub fn take(&mut self, id: UpstreamId) -> Vec<(Key, u32)> {
-        let open = self.flows.iter().filter(|(_, flow)| {
-            flow.upstream.record.id == id && flow.phase != Phase::Closed
-        });
+        let open = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.upstream.record.id == id && flow.phase != Phase::Closed);
         let open: Vec<(Key, u32)> = open.map(|(key, flow)| (*key, flow.acknowledged)).collect();
         for (key, _) in &open {
             self.remove(key);
