Probe upstreams that do not answer an opening packet at once

Cause: a machine whose process has ended refuses flows, which only the caller sees.

Change: an opening counts as a request until it is answered, and one that is not answered within 30 ms asks for a probe; an upstream that is being probed gets no new flows.

--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -29,9 +29,12 @@
 /// Longest datagram that is read; callers send less.
 const DATAGRAM_BYTES: usize = 2_048;
 
-/// Time between two sweeps of old flows, and the longest wait for a packet.
+/// Time between two sweeps of old flows.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Longest wait for a packet before openings without an answer are looked for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Forwards the packets of one socket.
 pub struct Forwarder {
     state: Arc<State>,
@@ -58,7 +61,7 @@
         balancer: Balancer,
         (probes, reports): (Sender<Probe>, Receiver<Report>),
     ) -> io::Result<Forwarder> {
-        socket.set_read_timeout(Some(TICK))?;
+        socket.set_read_timeout(Some(CHECK_INTERVAL))?;
         Ok(Forwarder {
             reset_port: socket.local_addr()?.port(),
             state,
@@ -91,6 +94,7 @@
                 self.next_tick = now + TICK;
                 self.tick(now);
             }
+            self.balancer.check(now, self.table.as_deref());
             self.perform(now);
         }
     }
--- a/crates/skylarkflow/src/steer_probe.rs
+++ b/crates/skylarkflow/src/steer_probe.rs
@@ -114,8 +114,8 @@
 
 async fn conclude(outcome: Outcome, other: impl Future<Output = Outcome>) -> Outcome {
     match outcome {
-        Outcome::Answered => outcome,
-        _ => outcome.or(other.await),
+        Outcome::TimedOut => outcome.or(other.await),
+        Outcome::Answered | Outcome::Refused | Outcome::Stranger => outcome,
     }
 }
 
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -221,6 +221,14 @@
         }
     }
 
+    /// Looks for upstreams that do not answer opening packets; due every few milliseconds.
+    pub fn check(&mut self, now: Duration, table: Option<&Table>) {
+        while let Some(upstream) = self.tracker.overdue(now) {
+            self.register.silent(now, upstream.record.id);
+        }
+        self.settle(table);
+    }
+
     /// Forgets what has become old and probes upstreams that may be back.
     pub fn tick(&mut self, now: Duration, table: Option<&Table>) {
         let idle = table.map_or(DEFAULT_IDLE, |table| table.idle_timeout);
@@ -299,7 +307,7 @@
             upstreams,
             |upstream| {
                 let id = upstream.record.id;
-                !monitor.looks_down(id) && !register.is_dead(id)
+                !monitor.looks_down(id) && !register.is_doubtful(id)
             },
             &mut self.rng,
         )
--- a/crates/steering/src/liveness.rs
+++ b/crates/steering/src/liveness.rs
@@ -104,6 +104,12 @@
         record.is_some_and(|record| record.status == Status::Dead)
     }
 
+    /// Returns whether an upstream is dead or being probed, so that it gets no new flows.
+    pub fn is_doubtful(&self, id: UpstreamId) -> bool {
+        let record = self.records.get(&id);
+        record.is_some_and(|record| record.status != Status::Alive)
+    }
+
     /// Records that an upstream answered on a flow.
     pub fn answered(&mut self, now: Duration, id: UpstreamId) {
         let record = self.records.entry(id).or_default();
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -6,7 +6,7 @@
 use {
     crate::upstream::{Load, Upstream, UpstreamId},
     skylarkflow_policy::{flow::Key, id::Map},
-    std::{sync::Arc, time::Duration},
+    std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
 /// Time after which a repeated packet is a retransmission and not a copy made by the network; callers repeat after
@@ -22,6 +22,10 @@
     pub linger: Duration,
     /// Time without a packet after which a request no longer counts as in flight.
     pub request_timeout: Duration,
+    /// Time after which an opening packet without an answer is a sign that the upstream is not there. An upstream on a
+    /// machine that runs refuses flows of a process that has ended, and only the caller sees that; it would otherwise
+    /// look idle and draw more flows.
+    pub opening_timeout: Duration,
 }
 
 impl Default for Settings {
@@ -30,6 +34,8 @@
             flows: 65_536,
             linger: Duration::from_secs(3),
             request_timeout: Duration::from_secs(3),
+            // Three times the round trip from a caller to an upstream of another zone.
+            opening_timeout: Duration::from_millis(30),
         }
     }
 }
@@ -50,6 +56,7 @@
 pub struct Tracker {
     settings: Settings,
     flows: Map<Key, Flow>,
+    openings: VecDeque<(Duration, Key)>,
 }
 
 #[derive(Debug)]
@@ -79,7 +86,7 @@
     pub fn new(settings: Settings) -> Tracker {
         Tracker {
             settings,
-            flows: Map::default(),
+            ..Tracker::default()
         }
     }
 
@@ -106,6 +113,27 @@
     pub fn open(&mut self, now: Duration, key: Key, copy: u32, upstream: &Arc<Upstream>) {
         self.remove(&key);
         self.insert(now, key, Phase::Opening { copy }, 0, upstream);
+        if let Some(flow) = self.flows.get_mut(&key) {
+            // An opening counts as a request until it is answered.
+            flow.start(now, 0);
+            self.openings.push_back((now, key));
+        }
+    }
+
+    /// Returns the next upstream that has not answered an opening packet in time.
+    pub fn overdue(&mut self, now: Duration) -> Option<Arc<Upstream>> {
+        while let Some(&(opened, key)) = self.openings.front()
+            && now >= opened + self.settings.opening_timeout
+        {
+            self.openings.pop_front();
+            let flow = self.flows.get(&key);
+            let is_same =
+                |flow: &&Flow| matches!(flow.phase, Phase::Opening { .. }) && flow.seen == opened;
+            if let Some(flow) = flow.filter(is_same) {
+                return Some(Arc::clone(&flow.upstream));
+            }
+        }
+        None
     }
 
     /// Records a later packet of a flow, which may have begun at another balancer.
@@ -220,6 +248,7 @@
             Phase::Opening { .. } => {
                 self.phase = Phase::Open;
                 self.acknowledged = packet.acknowledged;
+                self.finish();
                 self.begin(now, packet);
                 Sign::Answered
             }
@@ -248,14 +277,18 @@
 
     fn begin(&mut self, now: Duration, packet: &Packet) {
         if packet.has_data && self.request.is_none() {
-            self.request = Some(Request {
-                sequence: packet.sequence,
-                sent: now,
-            });
-            add(&self.upstream, 0, 1);
+            self.start(now, packet.sequence);
         }
     }
 
+    fn start(&mut self, now: Duration, sequence: u32) {
+        self.request = Some(Request {
+            sequence,
+            sent: now,
+        });
+        add(&self.upstream, 0, 1);
+    }
+
     fn finish(&mut self) {
         if self.request.take().is_some() {
             add(&self.upstream, 0, -1);
