Judge upstreams by cookie, accepted connection and uninterrupted probe

A balancer that had been frozen read an old opening packet, remembered its own choice for the flow although a copy had opened it elsewhere, and reset the flow when its choice ended. Two more ways to a wrong reset were closed with it: a full upstream that answers its health late, and a time-out that is only the balancer's own pause.

Change: the cookie of a packet replaces the remembered upstream; an accepted connection counts as an answer; a time-out seen a second after the probe decides nothing.

--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -82,7 +82,7 @@
             let received = self.socket.recv_from(&mut buffer[PREFIX_BYTES..]);
             let now = self.state.clock.now();
             self.refresh(now);
-            self.take_reports();
+            self.take_reports(now);
             match received {
                 // An empty datagram only wakes this thread.
                 Ok((0, _)) => {}
@@ -111,10 +111,10 @@
         }
     }
 
-    fn take_reports(&mut self) {
+    fn take_reports(&mut self, now: Duration) {
         while let Ok(Report { id, sent, outcome }) = self.reports.try_recv() {
             self.balancer
-                .probed(self.table.as_deref(), sent, id, outcome);
+                .probed(now, self.table.as_deref(), sent, id, outcome);
         }
     }
 
--- a/crates/skylarkflow/src/steer_probe.rs
+++ b/crates/skylarkflow/src/steer_probe.rs
@@ -1,7 +1,7 @@
 //! Probes of upstreams that may have ended.
 
 use {
-    crate::{metrics::Counter, steer_state::State},
+    crate::{event, metrics::Counter, steer_state::State},
     crossbeam::channel::Sender,
     reqwest::Client,
     skylarkflow_adapter::{HEALTH_PATH, UPSTREAM_HEADER, object},
@@ -16,9 +16,13 @@
     tokio::{sync::mpsc::UnboundedReceiver, time},
 };
 
-/// Time that an upstream has to answer a probe: 70 times the longest round trip between zones, and twice the longest
-/// pause of a balancer whose share of a core is a quota for each tenth of a second.
-const TIMEOUT: Duration = Duration::from_millis(200);
+/// Time in which an upstream has to accept a connection: 70 times the longest round trip between zones, and twice the
+/// longest pause of a balancer whose share of a core is a quota for each tenth of a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time in which an upstream has to name itself, after which its acceptance of the connection has to do: a full one
+/// answers late.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time between the two attempts of a probe, so that one lost packet decides nothing.
 const STAGGER: Duration = Duration::from_millis(50);
@@ -83,9 +87,15 @@
     let client = Client::builder()
         .no_proxy()
         .pool_max_idle_per_host(0)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .timeout(ANSWER_TIMEOUT)
         .build();
-    let Ok(client) = client else {
-        return;
+    let client = match client {
+        Ok(client) => client,
+        Err(error) => {
+            let text = format_args!("no client for probes: {error}");
+            return state.journal.record(&event::PROBES_UNAVAILABLE, text);
+        }
     };
     while let Some(Probe { id, address, sent }) = probes.recv().await {
         state.metrics.count(Counter::Probes);
@@ -121,10 +131,11 @@
 
 async fn attempt(client: &Client, id: UpstreamId, address: SocketAddr) -> Outcome {
     let url = format!("http://{address}{HEALTH_PATH}");
-    let response = match client.get(url).timeout(TIMEOUT).send().await {
+    let response = match client.get(url).send().await {
         Ok(response) => response,
         Err(error) if is_refused(&error) => return Outcome::Refused,
-        Err(_) => return Outcome::TimedOut,
+        Err(error) if error.is_connect() => return Outcome::TimedOut,
+        Err(_) => return Outcome::Answered,
     };
     let name = response.headers().get(UPSTREAM_HEADER);
     let name = name.and_then(|name| name.to_str().ok());
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -200,12 +200,13 @@
     /// Takes the outcome of a probe that was sent at `sent`.
     pub fn probed(
         &mut self,
+        now: Duration,
         table: Option<&Table>,
         sent: Duration,
         id: UpstreamId,
         outcome: Outcome,
     ) {
-        self.register.probed(sent, id, outcome);
+        self.register.probed(now, sent, id, outcome);
         self.settle(table);
     }
 
--- a/crates/steering/src/liveness.rs
+++ b/crates/steering/src/liveness.rs
@@ -18,6 +18,9 @@
     /// Time for which an answer on any flow outweighs silence on another one: a slow request is repeated after 200 ms
     /// although its upstream works on it.
     pub answer_age: Duration,
+    /// Time after which the lack of an answer to a probe says nothing, since this process was paused meanwhile; a probe
+    /// takes half a second at most.
+    pub probe_age: Duration,
 }
 
 impl Default for Settings {
@@ -25,6 +28,7 @@
         Settings {
             recheck: Duration::from_secs(1),
             answer_age: Duration::from_millis(100),
+            probe_age: Duration::from_secs(1),
         }
     }
 }
@@ -150,7 +154,8 @@
     }
 
     /// Records the outcome of a probe that was sent at `sent`.
-    pub fn probed(&mut self, sent: Duration, id: UpstreamId, outcome: Outcome) {
+    pub fn probed(&mut self, now: Duration, sent: Duration, id: UpstreamId, outcome: Outcome) {
+        let is_stale = outcome == Outcome::TimedOut && now >= sent + self.settings.probe_age;
         let Some(record) = self.records.get_mut(&id) else {
             return;
         };
@@ -159,7 +164,7 @@
             return self.restore(id);
         }
         let has_answered = record.answered.is_some_and(|at| at >= sent);
-        if record.status == Status::Suspect && has_answered {
+        if record.status == Status::Suspect && (has_answered || is_stale) {
             record.status = Status::Alive;
         } else if record.status == Status::Suspect {
             self.sever(id, outcome);
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -138,6 +138,12 @@
 
     /// Records a later packet of a flow, which may have begun at another balancer.
     pub fn observe(&mut self, now: Duration, segment: &Packet, upstream: &Arc<Upstream>) -> Sign {
+        let known = self.flows.get(&segment.key);
+        if known.is_some_and(|flow| flow.upstream.record.id != upstream.record.id) {
+            // The cookie is right: after a pause this balancer may read an opening packet of which a copy has already
+            // opened the flow at another upstream.
+            self.remove(&segment.key);
+        }
         if !self.flows.contains_key(&segment.key) {
             // The flow was opened at another balancer, so its packet says nothing about the upstream.
             self.insert(
--- /dev/null
+++ b/crates/steering/tests/support/mod.rs
@@ -0,0 +1,118 @@
+//! Upstreams, tables and packets for tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    skylarkflow_policy::flow::Key,
+    skylarkflow_steering::{
+        balancer::{Balancer, Settings, Verdict},
+        directory::{self, Directory},
+        segment::{Kind, Segment},
+        table::{Config, Route, Routes, Table, Target},
+        upstream::{Record, State, Upstream, UpstreamId},
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Address of the route of every test.
+pub const SERVICE: ([u8; 4], u16) = ([198, 18, 0, 1], 443);
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn service() -> SocketAddr {
+    SocketAddr::from(SERVICE)
+}
+
+pub fn record(id: UpstreamId, zone: &str) -> Record {
+    Record {
+        id,
+        pool: "dispatch".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::new(10, 1, 0, id as u8), 8080)),
+        zone: zone.to_owned(),
+        slots: 2,
+        state: State::Ready,
+        warmup: Duration::ZERO,
+        born: 1,
+    }
+}
+
+pub fn directory(records: &[Record]) -> Directory {
+    let mut directory = Directory::new(directory::Settings::default());
+    directory.replace(Duration::ZERO, records.to_vec());
+    directory
+}
+
+pub fn config(version: u64, addresses: &[SocketAddr]) -> Config {
+    let route = |&address: &SocketAddr| Route {
+        name: address.to_string(),
+        address,
+        targets: vec![Target {
+            pool: "dispatch".to_owned(),
+            weight: 1,
+        }],
+    };
+    Config {
+        version,
+        routes: addresses.iter().map(route).collect(),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
+
+pub fn table(directory: &Directory) -> Table {
+    let mut routes = Routes::default();
+    routes.offer(config(1, &[service()]));
+    routes
+        .table(directory.view())
+        .expect("a configuration was offered")
+}
+
+pub fn balancer(zone: &str) -> Balancer {
+    let settings = Settings {
+        zone: zone.to_owned(),
+        ..Settings::default()
+    };
+    Balancer::new(settings, 7)
+}
+
+pub fn key(port: u16) -> Key {
+    Key {
+        caller: SocketAddr::from(([100, 64, 0, 7], port)),
+        service: service(),
+    }
+}
+
+pub fn open(port: u16, copy: u32) -> Segment {
+    Segment {
+        flow: key(port),
+        kind: Kind::Open { copy },
+        cookie: 0,
+        sequence: 1_000,
+        acknowledged: copy,
+        length: 0,
+    }
+}
+
+pub fn data(port: u16, cookie: u32, sequence: u32, acknowledged: u32) -> Segment {
+    Segment {
+        flow: key(port),
+        kind: Kind::Established { is_last: false },
+        cookie,
+        sequence,
+        acknowledged,
+        length: 200,
+    }
+}
+
+/// Returns the upstream to which a packet is forwarded.
+pub fn target(verdict: Verdict) -> Arc<Upstream> {
+    match verdict {
+        Verdict::Forward { upstream, .. } => upstream,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
