Read first lists from a copy and step in for readers one by one

After a common start all balancers read for their zone until they found each other, each start listed 150 entries from the current store, and watches followed each other after 200 ms while upstreams registered.

Change: the first list may come from a copy, since the changes after it follow; the first election waits 4 s and later ones step in by rank; watches pause for 400 ms and a peer is asked after 600 ms.

--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -75,8 +75,8 @@
         Kind::Upstreams => object::UPSTREAMS,
     };
     match call {
-        Call::List { after } => {
-            let page = store.list(name, after.as_deref()).await?;
+        Call::List { after, is_current } => {
+            let page = store.list(name, after.as_deref(), *is_current).await?;
             let last = page.items.last().map(|item| object::name(item).to_owned());
             let answer = Answer::Page {
                 revision: page.revision,
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -278,7 +278,9 @@
     let mut after: Option<String> = None;
     loop {
         state.metrics.count(Counter::StoreCalls);
-        let page = store.list_copy(object::BALANCERS, after.as_deref()).await?;
+        let page = store
+            .list(object::BALANCERS, after.as_deref(), false)
+            .await?;
         for item in &page.items {
             let name = object::name(item);
             let Ok(entry) = object::registration(item) else {
--- a/crates/steering/src/feed.rs
+++ b/crates/steering/src/feed.rs
@@ -25,7 +25,7 @@
     fn default() -> Settings {
         Settings {
             wait: Duration::from_secs(30),
-            pace: Duration::from_millis(200),
+            pace: Duration::from_millis(400),
             least_pause: Duration::from_millis(100),
             most_pause: Duration::from_secs(1),
         }
@@ -39,6 +39,8 @@
     List {
         /// Name of the last object of the page before.
         after: Option<String>,
+        /// Whether a copy of the store that may be seconds old will not do.
+        is_current: bool,
     },
     /// Wait for a change after a revision.
     Watch {
@@ -106,12 +108,15 @@
 }
 
 impl Feed {
-    /// Creates a feed that lists at once.
+    /// Creates a feed that lists at once; a copy will do, as the changes since then follow.
     pub fn new(settings: Settings, seed: u64) -> Feed {
         Feed {
             settings,
             rng: SmallRng::seed_from_u64(seed),
-            next: Call::List { after: None },
+            next: Call::List {
+                after: None,
+                is_current: false,
+            },
             due: Duration::ZERO,
             revision: None,
             listed: None,
@@ -139,11 +144,7 @@
         match answer {
             Answer::Page { revision, next } => self.page(now, revision, next),
             Answer::Changes { revision } => self.changes(now, revision),
-            Answer::Gone => {
-                self.next = Call::List { after: None };
-                self.due = now;
-                Use::Ignore
-            }
+            Answer::Gone => self.relist(now),
             Answer::Failed => {
                 self.fail(now);
                 Use::Ignore
@@ -156,16 +157,24 @@
         // Changes between two pages are seen by a watch from the revision of the first one.
         let first = *self.listed.get_or_insert(revision);
         self.due = now;
-        if let Some(after) = next {
-            self.next = Call::List { after: Some(after) };
+        if next.is_some() {
+            let is_current = matches!(
+                self.next,
+                Call::List {
+                    is_current: true,
+                    ..
+                }
+            );
+            self.next = Call::List {
+                after: next,
+                is_current,
+            };
             return Use::Collect;
         }
         self.listed = None;
         if self.revision.is_some_and(|known| first < known) {
-            // An answer that is older than what is known; the store shows the newer state soon.
-            self.next = Call::List { after: None };
-            self.due = now + self.settings.least_pause;
-            return Use::Ignore;
+            // An answer that is older than what is known.
+            return self.relist(now + self.settings.least_pause);
         }
         self.watch(now, first);
         Use::Replace
@@ -174,9 +183,7 @@
     fn changes(&mut self, now: Duration, revision: Revision) -> Use {
         self.failures = 0;
         if self.revision.is_some_and(|known| revision < known) {
-            self.next = Call::List { after: None };
-            self.due = now + self.settings.least_pause;
-            return Use::Ignore;
+            return self.relist(now + self.settings.least_pause);
         }
         self.watch(now + self.settings.pace, revision);
         Use::Apply
@@ -200,7 +207,20 @@
         self.failures += 1;
         self.due = now + pause.mul_f64(self.rng.random_range(0.75..1.25));
         if self.listed.take().is_some() {
-            self.next = Call::List { after: None };
+            self.next = Call::List {
+                after: None,
+                is_current: true,
+            };
         }
     }
+
+    fn relist(&mut self, due: Duration) -> Use {
+        self.listed = None;
+        self.due = due;
+        self.next = Call::List {
+            after: None,
+            is_current: true,
+        };
+        Use::Ignore
+    }
 }
--- a/crates/steering/src/peer.rs
+++ b/crates/steering/src/peer.rs
@@ -37,8 +37,13 @@
     pub member_age: Duration,
     /// Time for which the end of an upstream is reported.
     pub ended_age: Duration,
-    /// Time for which a peer may be ahead before it is asked, as the store's own answer is usually under way.
+    /// Time for which a peer may be ahead before it is asked, as the store's own answer is usually under way; longer
+    /// than the pause between two watches.
     pub patience: Duration,
+    /// Time from the start to the first election, in which balancers that start together find each other.
+    pub first_election: Duration,
+    /// Time that each further balancer by name waits before it steps in for a reader that is gone.
+    pub step_in: Duration,
 }
 
 impl Default for Settings {
@@ -52,7 +57,9 @@
             reader_age: Duration::from_secs(2),
             member_age: Duration::from_secs(60),
             ended_age: Duration::from_secs(2),
-            patience: Duration::from_millis(200),
+            patience: Duration::from_millis(600),
+            first_election: Duration::from_secs(4),
+            step_in: Duration::from_millis(100),
         }
     }
 }
@@ -147,6 +154,8 @@
     ended: Map<UpstreamId, Duration>,
     reported: Duration,
     has_news: bool,
+    /// Time since which a reader is missing.
+    vacant: Option<Duration>,
     /// Time since which a peer is ahead.
     behind: Option<Duration>,
     actions: Vec<Action>,
@@ -167,6 +176,7 @@
             ended: Map::default(),
             reported: Duration::ZERO,
             has_news: true,
+            vacant: None,
             behind: None,
             actions: Vec::new(),
         }
@@ -304,12 +314,14 @@
             .retain(|_, pulse| now < pulse.advanced + reader_age);
         let before = self.pulses.range(..self.me.name.clone()).count();
         let others = self.pulses.len() - usize::from(self.pulses.contains_key(&self.me.name));
-        // A reader only gives way to lower names; others step in where readers are missing, after the time in which
-        // heartbeats of present ones would have arrived.
+        if others >= readers {
+            self.vacant = None;
+        }
+        // A reader only gives way to lower names; where one is missing, the others step in one after the other.
         let is_reader = if self.is_reader {
             before < readers
         } else {
-            others < readers && now >= self.settings.interval * 2
+            others < readers && self.steps_in(now)
         };
         if is_reader != self.is_reader {
             self.is_reader = is_reader;
@@ -321,6 +333,16 @@
         }
     }
 
+    fn steps_in(&mut self, now: Duration) -> bool {
+        let since = *self.vacant.get_or_insert(now);
+        let lower = self.members.range(..self.me.name.clone());
+        let rank = lower
+            .filter(|(_, member)| member.place.zone == self.me.zone)
+            .count();
+        let wait = self.settings.step_in * rank as u32;
+        now >= self.settings.first_election && now >= since + wait
+    }
+
     fn compare(&mut self, now: Duration) {
         let ahead = self
             .members
