--- a/crates/peer/src/tables.rs
+++ b/crates/peer/src/tables.rs
@@ -8,7 +8,7 @@
         table::{Config, Route, Target},
         upstream::{Record, State},
     },
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// What a balancer knows that a peer does not.
@@ -29,9 +29,9 @@
     changes: Vec<(u64, u64, Option<RecordWire>)>,
 }
 
-/// Version, idle time-out in milliseconds, and the routes.
+/// Version, idle time-out in milliseconds, the routes, and the health path of each pool.
 #[derive(Deserialize, Serialize)]
-struct ConfigWire(u64, u64, Vec<RouteWire>);
+struct ConfigWire(u64, u64, Vec<RouteWire>, BTreeMap<String, String>);
 
 /// Name, address, and the pools with their weights.
 #[derive(Deserialize, Serialize)]
@@ -85,12 +85,13 @@
             config.version,
             config.idle_timeout.as_millis() as u64,
             config.routes.into_iter().map(route).collect(),
+            config.health_paths,
         )
     }
 }
 
 impl From<ConfigWire> for Config {
-    fn from(ConfigWire(version, idle_ms, routes): ConfigWire) -> Config {
+    fn from(ConfigWire(version, idle_ms, routes, health_paths): ConfigWire) -> Config {
         let target = |(pool, weight): (String, u32)| Target { pool, weight };
         let route = |RouteWire(name, address, targets): RouteWire| Route {
             name,
@@ -100,6 +101,7 @@
         Config {
             version,
             routes: routes.into_iter().map(route).collect(),
+            health_paths,
             idle_timeout: Duration::from_millis(idle_ms),
         }
     }
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -55,6 +55,7 @@
 mod steer_daemon;
 mod steer_data;
 mod steer_http;
+mod steer_latency;
 mod steer_peers;
 mod steer_probe;
 pub mod steer_settings;
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -155,7 +155,11 @@
             inputs,
             waker,
         } = self;
-        serve_http(settings.http, steer_http::router(Arc::clone(&state))).await?;
+        let router = steer_http::router(Arc::clone(&state));
+        if let Some(metrics) = settings.metrics {
+            serve_http(metrics, router.clone()).await?;
+        }
+        serve_http(settings.http, router).await?;
         let directory = Directory::new(settings.directory());
         let sources = Arc::new(Sources::new(Arc::clone(&state), directory));
         let store = Store::new(settings.store)?;
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -33,6 +33,9 @@
 /// Time between two sweeps of old flows.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Path of a probe of an upstream whose pool is not in the configuration any more; any answer will do.
+const DEFAULT_HEALTH_PATH: &str = "/";
+
 /// Longest wait for a packet before openings without an answer are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -267,9 +270,12 @@
     }
 
     fn probe(&self, now: Duration, upstream: &Upstream) {
+        let paths = self.table.as_ref().map(|table| &table.health_paths);
+        let path = paths.and_then(|paths| paths.get(&upstream.record.pool));
         let probe = Probe {
             id: upstream.record.id,
             address: upstream.record.address,
+            path: path.map_or(DEFAULT_HEALTH_PATH, String::as_str).to_owned(),
             sent: now,
         };
         // The receiver only ends with the process.
@@ -292,6 +298,10 @@
 
     fn tick(&mut self, now: Duration) {
         self.balancer.tick(now, self.table.as_deref());
+        if let Ok(mut latencies) = self.state.latencies.try_lock() {
+            self.balancer
+                .drain_samples(|samples| latencies.record(samples));
+        }
         let flows = self.balancer.flows() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
     }
--- a/crates/skylarkflow/src/steer_http.rs
+++ b/crates/skylarkflow/src/steer_http.rs
@@ -4,7 +4,10 @@
     crate::{metrics::Metrics, steer_state::State},
     axum::{Router, extract, http::StatusCode, routing::get},
     skylarkflow_adapter::READINESS_PATH,
-    std::{fmt::Write, sync::Arc},
+    std::{
+        fmt::Write,
+        sync::{Arc, PoisonError},
+    },
 };
 
 /// Path of the metrics.
@@ -27,7 +30,13 @@
 }
 
 async fn metrics(extract::State(state): extract::State<Arc<State>>) -> String {
-    text(&state.metrics)
+    let mut text = text(&state.metrics);
+    let latencies = state
+        .latencies
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    latencies.write(&mut text);
+    text
 }
 
 /// Returns every number, one a line, in the text format of Prometheus.
--- a/crates/skylarkflow/src/steer_probe.rs
+++ b/crates/skylarkflow/src/steer_probe.rs
@@ -4,7 +4,7 @@
     crate::{event, metrics::Counter, steer_data::Input, steer_state::State},
     crossbeam::channel::Sender,
     reqwest::Client,
-    skylarkflow_adapter::{HEALTH_PATH, UPSTREAM_HEADER, object},
+    skylarkflow_adapter::{UPSTREAM_HEADER, object},
     skylarkflow_steering::{liveness::Outcome, upstream::UpstreamId},
     std::{
         error::Error,
@@ -28,12 +28,14 @@
 const STAGGER: Duration = Duration::from_millis(50);
 
 /// A probe to be made.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Probe {
     /// The upstream.
     pub id: UpstreamId,
     /// Its address.
     pub address: SocketAddr,
+    /// Path on which it tells its health.
+    pub path: String,
     /// Time of the request on the balancer's clock.
     pub sent: Duration,
 }
@@ -96,11 +98,12 @@
             return state.journal.record(&event::PROBES_UNAVAILABLE, text);
         }
     };
-    while let Some(Probe { id, address, sent }) = probes.recv().await {
+    while let Some(probe) = probes.recv().await {
         state.metrics.count(Counter::Probes);
         let (client, inputs, waker) = (client.clone(), inputs.clone(), Arc::clone(&waker));
         tokio::spawn(async move {
-            let outcome = probe(&client, id, address).await;
+            let outcome = make(&client, &probe).await;
+            let Probe { id, sent, .. } = probe;
             // The receiver only ends with the process.
             let _ = inputs.send(Input::Probed(Report { id, sent, outcome }));
             waker.wake();
@@ -108,12 +111,12 @@
     }
 }
 
-async fn probe(client: &Client, id: UpstreamId, address: SocketAddr) -> Outcome {
+async fn make(client: &Client, probe: &Probe) -> Outcome {
     let second = async {
         time::sleep(STAGGER).await;
-        attempt(client, id, address).await
+        attempt(client, probe).await
     };
-    let first = attempt(client, id, address);
+    let first = attempt(client, probe);
     tokio::pin!(first, second);
     tokio::select! {
         outcome = &mut first => conclude(outcome, second).await,
@@ -128,8 +131,8 @@
     }
 }
 
-async fn attempt(client: &Client, id: UpstreamId, address: SocketAddr) -> Outcome {
-    let url = format!("http://{address}{HEALTH_PATH}");
+async fn attempt(client: &Client, probe: &Probe) -> Outcome {
+    let url = format!("http://{}{}", probe.address, probe.path);
     let response = match client.get(url).send().await {
         Ok(response) => response,
         Err(error) if is_refused(&error) => return Outcome::Refused,
@@ -139,7 +142,7 @@
     let name = response.headers().get(UPSTREAM_HEADER);
     let name = name.and_then(|name| name.to_str().ok());
     match name.and_then(object::upstream_id) {
-        Some(other) if other != id => Outcome::Stranger,
+        Some(other) if other != probe.id => Outcome::Stranger,
         _ => Outcome::Answered,
     }
 }
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -28,6 +28,8 @@
     pub datagrams: SocketAddr,
     /// Address of the HTTP server for readiness and metrics.
     pub http: SocketAddr,
+    /// Address of a second HTTP server with the same paths, on a port that does not change.
+    pub metrics: Option<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Ports for messages between balancers.
@@ -95,6 +97,7 @@
             zone: "zone".to_owned(),
             datagrams: any,
             http: any,
+            metrics: None,
             store: SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)),
             peers: Peers::default(),
             bounds: Bounds::default(),
--- a/crates/skylarkflow/src/steer_state.rs
+++ b/crates/skylarkflow/src/steer_state.rs
@@ -1,7 +1,7 @@
 //! State that the threads of a steering balancer share.
 
 use {
-    crate::{clock::Clock, journal::Journal, metrics::Metrics},
+    crate::{clock::Clock, journal::Journal, metrics::Metrics, steer_latency::Latencies},
     skylarkflow_steering::{lifecycle::Phase, table::Table},
     std::{
         sync::{
@@ -20,6 +20,8 @@
     pub journal: Journal,
     /// Counters.
     pub metrics: Metrics,
+    /// Times that flows took.
+    pub latencies: Mutex<Latencies>,
     table: Mutex<Option<Arc<Table>>>,
     generation: AtomicU64,
     phase: Mutex<Phase>,
@@ -34,6 +36,7 @@
             clock: Clock::start(),
             journal,
             metrics,
+            latencies: Mutex::new(Latencies::default()),
             table: Mutex::new(None),
             generation: AtomicU64::new(0),
             phase: Mutex::new(phase),
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -7,7 +7,7 @@
         placement,
         segment::{Kind, Segment},
         table::{Route, Table, Target, Version},
-        tracker::{self, Packet, Sign, Tracker},
+        tracker::{self, Packet, Samples, Sign, Tracker},
         upstream::{Upstream, UpstreamId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Hands the times that flows took to `take` and forgets them.
+    pub fn drain_samples(&mut self, take: impl FnMut(&Samples)) {
+        self.tracker.drain_samples(take);
+    }
+
     /// Returns the number of flows that lately sent packets.
     pub fn flows(&self) -> usize {
         self.tracker.len()
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -7,7 +7,7 @@
         upstream::{PoolName, State, Upstream, UpstreamId},
     },
     skylarkflow_policy::id::{Map, Set},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Number of a configuration; a higher one is newer.
@@ -40,6 +40,8 @@
     pub version: Version,
     /// Routes.
     pub routes: Vec<Route>,
+    /// Paths on which the upstreams of each pool tell their health.
+    pub health_paths: BTreeMap<PoolName, String>,
     /// Time without a packet after which a flow may be forgotten.
     pub idle_timeout: Duration,
 }
@@ -61,6 +63,8 @@
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
     /// Addresses of the registered upstreams.
     pub addresses: Arc<Map<SocketAddr, UpstreamId>>,
+    /// Paths on which the upstreams of each pool tell their health.
+    pub health_paths: Arc<BTreeMap<PoolName, String>>,
 }
 
 impl Table {
@@ -81,6 +85,7 @@
     config: Option<Config>,
     routes: Arc<Map<SocketAddr, Route>>,
     removed: Arc<Set<SocketAddr>>,
+    health_paths: Arc<BTreeMap<PoolName, String>>,
 }
 
 /// Outcome of an offered configuration.
@@ -128,6 +133,7 @@
                 .collect(),
         );
         self.routes = Arc::new(routes);
+        self.health_paths = Arc::new(config.health_paths.clone());
         self.config = Some(config);
         Adoption::Adopted
     }
@@ -143,6 +149,7 @@
             pools: view.pools,
             cookies: view.cookies,
             addresses: view.addresses,
+            health_paths: Arc::clone(&self.health_paths),
         })
     }
 }
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -13,6 +13,9 @@
 /// 200 ms.
 const REPEAT_AFTER: Duration = Duration::from_millis(150);
 
+/// Times of each kind that are kept until they are taken; more are left out.
+const SAMPLES: usize = 1_024;
+
 /// Settings of a [`Tracker`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -57,6 +60,16 @@
     settings: Settings,
     flows: Map<Key, Flow>,
     openings: VecDeque<(Duration, Key)>,
+    samples: Samples,
+}
+
+/// Times that flows took, since they were last taken.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Samples {
+    /// From opening packets to the next packets of their flows.
+    pub openings: Vec<Duration>,
+    /// From requests to the first acknowledgements of their responses.
+    pub requests: Vec<Duration>,
 }
 
 #[derive(Debug)]
@@ -90,6 +103,13 @@
         }
     }
 
+    /// Hands each time that flows took to `take` and forgets it.
+    pub fn drain_samples(&mut self, mut take: impl FnMut(&Samples)) {
+        take(&self.samples);
+        self.samples.openings.clear();
+        self.samples.requests.clear();
+    }
+
     /// Returns the number of remembered flows.
     pub fn len(&self) -> usize {
         self.flows.len()
@@ -157,7 +177,7 @@
         let Some(flow) = self.flows.get_mut(&segment.key) else {
             return Sign::None;
         };
-        let sign = flow.observe(now, segment);
+        let sign = flow.observe(now, segment, &mut self.samples);
         flow.seen = now;
         if segment.is_last {
             flow.close();
@@ -249,25 +269,27 @@
 }
 
 impl Flow {
-    fn observe(&mut self, now: Duration, packet: &Packet) -> Sign {
+    fn observe(&mut self, now: Duration, packet: &Packet, samples: &mut Samples) -> Sign {
         match self.phase {
             Phase::Opening { .. } => {
                 self.phase = Phase::Open;
                 self.acknowledged = packet.acknowledged;
-                self.finish();
+                let sent = self.finish();
+                sample(&mut samples.openings, now, sent);
                 self.begin(now, packet);
                 Sign::Answered
             }
-            Phase::Open => self.advance(now, packet),
+            Phase::Open => self.advance(now, packet, samples),
             Phase::Closed => Sign::None,
         }
     }
 
-    fn advance(&mut self, now: Duration, packet: &Packet) -> Sign {
+    fn advance(&mut self, now: Duration, packet: &Packet, samples: &mut Samples) -> Sign {
         let is_newer = packet.acknowledged.wrapping_sub(self.acknowledged) as i32 > 0;
         if is_newer {
             self.acknowledged = packet.acknowledged;
-            self.finish();
+            let sent = self.finish();
+            sample(&mut samples.requests, now, sent);
         }
         let repeated = self.request.filter(|request| {
             packet.has_data
@@ -295,10 +317,11 @@
         add(&self.upstream, 0, 1);
     }
 
-    fn finish(&mut self) {
-        if self.request.take().is_some() {
-            add(&self.upstream, 0, -1);
-        }
+    /// Ends the request in flight and returns when it was sent.
+    fn finish(&mut self) -> Option<Duration> {
+        let request = self.request.take()?;
+        add(&self.upstream, 0, -1);
+        Some(request.sent)
     }
 
     fn close(&mut self) {
@@ -310,6 +333,14 @@
     }
 }
 
+fn sample(samples: &mut Vec<Duration>, now: Duration, sent: Option<Duration>) {
+    if let Some(sent) = sent
+        && samples.len() < SAMPLES
+    {
+        samples.push(now.saturating_sub(sent));
+    }
+}
+
 fn add(upstream: &Upstream, flows: i32, requests: i32) {
     let load = upstream.meter.local();
     upstream.meter.set_local(Load {
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -12,6 +12,7 @@
         upstream::{Record, State, Upstream, UpstreamId},
     },
     std::{
+        collections::BTreeMap,
         net::{Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
@@ -61,6 +62,7 @@
     Config {
         version,
         routes: addresses.iter().map(route).collect(),
+        health_paths: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
     }
 }
