--- a/crates/emulator/src/objects.rs
+++ b/crates/emulator/src/objects.rs
@@ -2,7 +2,7 @@
 
 use {
     serde_json::Value,
-    skylarkflow_platform::wire::{Listing, Object},
+    skylarkflow_store::wire::{Listing, Object},
     std::collections::BTreeMap,
 };
 
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -22,8 +22,8 @@
     },
     serde::Deserialize,
     serde_json::{Value, json},
-    skylarkflow_platform::wire::{Listing, Machines, Object, Written},
     skylarkflow_policy::vm::Record,
+    skylarkflow_store::wire::{Listing, Machines, Object, Written},
     std::{
         collections::BTreeMap,
         future, io,
--- a/crates/emulator/tests/platform.rs
+++ b/crates/emulator/tests/platform.rs
@@ -7,7 +7,7 @@
         fault::{Calls, Faults},
         platform::Platform,
     },
-    skylarkflow_platform::{error::Category, store::Store},
+    skylarkflow_store::{error::Category, store::Store},
     std::{net::SocketAddr, time::Duration},
     tokio::time::{self, Instant},
 };
--- a/crates/skylarkflow/src/apply.rs
+++ b/crates/skylarkflow/src/apply.rs
@@ -9,7 +9,7 @@
     argh::FromArgs,
     log::LevelFilter,
     serde_json::json,
-    skylarkflow_platform::{
+    skylarkflow_store::{
         apply::{Outcome, Writer},
         check::{self, Tables},
         plan::{self, Action, Conflict, Current, Generations, Plan, Settings},
@@ -155,7 +155,7 @@
         path.unwrap_or_else(|| base::path(&self.routes))
     }
 
-    fn refuse(&self, findings: &[skylarkflow_platform::finding::Finding]) -> Failure {
+    fn refuse(&self, findings: &[skylarkflow_store::finding::Finding]) -> Failure {
         if self.json {
             println!("{}", json!({ "findings": findings }));
         } else {
@@ -225,7 +225,7 @@
 fn report_retries() {
     let output = fern::Dispatch::new()
         .level(LevelFilter::Off)
-        .level_for("skylarkflow_platform", LevelFilter::Warn)
+        .level_for("skylarkflow_store", LevelFilter::Warn)
         .format(|out, message, _| out.finish(format_args!("skylarkflow: {message}")))
         .chain(io::stderr());
     // A logger that is already set takes the lines.
--- a/crates/skylarkflow/src/base.rs
+++ b/crates/skylarkflow/src/base.rs
@@ -4,7 +4,7 @@
 //! changed by somebody else after these tables were made.
 
 use {
-    skylarkflow_platform::plan::Generations,
+    skylarkflow_store::plan::Generations,
     std::{
         fs,
         io::{self, ErrorKind},
--- a/crates/skylarkflow/src/caller.rs
+++ b/crates/skylarkflow/src/caller.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{context::Context, control::Input, event, metrics::Counter},
-    skylarkflow_platform::{error::Category, object, store::Store, wire::Object},
     skylarkflow_policy::config_reader::{Answer, Call, Kind, Stored},
+    skylarkflow_store::{error::Category, object, store::Store, wire::Object},
     std::{
         sync::{
             Arc,
@@ -80,7 +80,7 @@
         }
     }
 
-    fn checked<T>(&self, answer: skylarkflow_platform::Result<T>) -> Option<T> {
+    fn checked<T>(&self, answer: skylarkflow_store::Result<T>) -> Option<T> {
         match answer {
             Ok(value) => {
                 if self.is_failing.swap(false, Ordering::Relaxed) {
@@ -96,7 +96,7 @@
         }
     }
 
-    fn fail(&self, error: &skylarkflow_platform::Error) {
+    fn fail(&self, error: &skylarkflow_store::Error) {
         self.is_failing.store(true, Ordering::Relaxed);
         let text = format_args!("{error}");
         self.context
--- a/crates/skylarkflow/src/check.rs
+++ b/crates/skylarkflow/src/check.rs
@@ -7,7 +7,7 @@
     },
     argh::FromArgs,
     serde_json::json,
-    skylarkflow_platform::check::Tables,
+    skylarkflow_store::check::Tables,
     std::path::PathBuf,
 };
 
--- a/crates/skylarkflow/src/demo_site.rs
+++ b/crates/skylarkflow/src/demo_site.rs
@@ -13,8 +13,8 @@
         platform::Platform,
         upstream::{self, Behaviour, Upstream},
     },
-    skylarkflow_platform::{store::Store, wire},
     skylarkflow_policy::vm::{Record, Role, State},
+    skylarkflow_store::{store::Store, wire},
     std::{
         fmt::{self, Display, Formatter},
         io,
--- a/crates/skylarkflow/src/emulate_site.rs
+++ b/crates/skylarkflow/src/emulate_site.rs
@@ -12,8 +12,8 @@
         platform::Platform,
         upstream::{self, Behaviour, Upstream},
     },
-    skylarkflow_platform::wire,
     skylarkflow_policy::vm::{Record, Role, State},
+    skylarkflow_store::wire,
     std::{io, net::SocketAddr, path::PathBuf, time::Duration},
     tokio::runtime::Runtime,
 };
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod steer_settings;
 mod steer_sources;
 mod steer_state;
+mod steer_tasks;
 mod tables;
 mod timer;
 mod upstreams;
--- a/crates/skylarkflow/src/status.rs
+++ b/crates/skylarkflow/src/status.rs
@@ -4,7 +4,7 @@
     crate::command::{Failure, Result},
     argh::FromArgs,
     skylarkflow_operator::{client::Client, status},
-    skylarkflow_platform::plan::Generations,
+    skylarkflow_store::plan::Generations,
     std::{
         fs,
         net::SocketAddr,
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -69,7 +69,7 @@
     kind: Kind,
     call: &Call,
     is_current: bool,
-) -> Result<(Answer, Content), client::Error> {
+) -> Result<(Answer, Content), skylarkflow_store::Error> {
     let name = match kind {
         Kind::Config => object::CONFIG,
         Kind::Upstreams => object::UPSTREAMS,
@@ -97,11 +97,11 @@
 fn answer(
     state: &State,
     kind: Kind,
-    result: Result<(Answer, Content), client::Error>,
+    result: Result<(Answer, Content), skylarkflow_store::Error>,
 ) -> (Answer, Content) {
     match result {
         Ok(answered) => answered,
-        Err(client::Error::Gone) => (Answer::Gone, Content::None),
+        Err(error) if client::is_gone(&error) => (Answer::Gone, Content::None),
         Err(error) => {
             state.metrics.count(Counter::StoreFailures);
             let text = format_args!("{kind:?}: {error}");
@@ -114,6 +114,7 @@
 }
 
 fn report(state: &State, kind: Kind, failures: u32, feed: &Feed) {
+    state.set_store_lost(kind, feed.failures() > 0);
     if failures > 0 && feed.failures() == 0 {
         state.journal.record(
             &event::STORE_REGAINED,
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -6,43 +6,30 @@
         journal::Journal,
         metrics::Metrics,
         settings,
-        steer_control::{self, EXPIRE_INTERVAL},
-        steer_data::{self, Forwarder, Input},
-        steer_http, steer_peers,
-        steer_probe::{self, Probe, Waker},
+        steer_data::{self, Forwarder},
+        steer_probe::Waker,
         steer_settings::{self, Settings},
-        steer_sources::{Kind, Sources},
         steer_state::State,
+        steer_tasks::{Ends, Tasks},
     },
-    axum::Router,
-    crossbeam::channel::{self, Sender},
+    crossbeam::channel,
     derive_more::{Display, Error, From},
-    reqwest::Client,
-    skylarkflow_adapter::client::{self, Store},
     skylarkflow_steering::{
         balancer::{self, Balancer},
-        directory::Directory,
-        feed::Feed,
-        lifecycle::{Phase, Starting},
-        peer::{self, Circle},
-        upstream::UpstreamId,
+        lifecycle::{self, Phase, Starting},
     },
     std::{
         fs, io,
-        net::{SocketAddr, UdpSocket},
+        net::UdpSocket,
         path::{Path, PathBuf},
         sync::Arc,
         thread,
         time::Duration,
     },
     tokio::{
-        net::{self, TcpListener},
         runtime,
-        signal::unix::{Signal, SignalKind, signal},
-        sync::{
-            mpsc::{self, UnboundedReceiver},
-            watch,
-        },
+        signal::unix::{SignalKind, signal},
+        sync::mpsc,
         time,
     },
 };
@@ -61,7 +48,7 @@
     Io(io::Error),
     /// The client of the store could not be set up.
     #[display("{_0}")]
-    Store(client::Error),
+    Store(skylarkflow_store::Error),
 }
 
 /// Runs a balancer until it has stopped.
@@ -72,7 +59,7 @@
 pub fn run(settings: Settings, path: PathBuf) -> Result<(), Error> {
     let journal = Journal::new(&settings.name);
     let metrics = Metrics::new(&settings::Metrics::default())?;
-    let phase = Phase::Starting(Starting::new(settings.lifecycle()));
+    let phase = Phase::Starting(Starting);
     let state = Arc::new(State::new(journal, metrics, phase));
     let socket = UdpSocket::bind(settings.datagrams)?;
     let waker = Arc::new(Waker::new(&socket)?);
@@ -94,15 +81,13 @@
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let control = Control {
-        state: Arc::clone(&state),
-        settings,
+    let ends = Ends {
         probes: probe_receiver,
         ended: ended_receiver,
         inputs: input_sender,
         waker,
     };
-    let result = runtime.block_on(control.run(&path));
+    let result = runtime.block_on(control(&state, settings, &path, ends));
     state.stop();
     // The thread ends within its longest wait for a packet; a panic there has been reported.
     let _ = thread.join();
@@ -120,147 +105,65 @@
     Balancer::new(settings, state.clock.incarnation())
 }
 
-/// Everything beside the thread that handles packets.
-struct Control {
-    state: Arc<State>,
+async fn control(
+    state: &Arc<State>,
     settings: Settings,
-    probes: UnboundedReceiver<Probe>,
-    ended: UnboundedReceiver<UpstreamId>,
-    inputs: Sender<Input>,
-    waker: Arc<Waker>,
-}
-
-impl Control {
-    async fn run(self, path: &Path) -> Result<(), Error> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let hangup = signal(SignalKind::hangup())?;
-        let state = Arc::clone(&self.state);
-        self.start().await?;
-        tokio::spawn(reload(Arc::clone(&state), path.to_owned(), hangup));
+    path: &Path,
+    ends: Ends,
+) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut tasks = Tasks::start(state, settings, ends).await?;
+    started(state, tasks.settings());
+    let mut known = fs::read(path).ok();
+    loop {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        leave(&state).await;
-        Ok(())
-    }
-
-    async fn start(self) -> Result<(), Error> {
-        let Control {
-            state,
-            settings,
-            probes,
-            ended,
-            inputs,
-            waker,
-        } = self;
-        let router = steer_http::router(Arc::clone(&state));
-        if let Some(metrics) = settings.metrics {
-            serve_http(metrics, router.clone()).await?;
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {}
+            () = time::sleep(SETTINGS_INTERVAL) => {}
         }
-        serve_http(settings.http, router).await?;
-        let directory = Directory::new(settings.directory());
-        let sources = Arc::new(Sources::new(Arc::clone(&state), directory));
-        let store = Store::new(settings.store)?;
-        let (reader_sender, is_reader) = watch::channel(false);
-        for (seed, kind) in (0..).zip([Kind::Config, Kind::Upstreams]) {
-            let feed = Feed::new(settings.feed(), state.clock.incarnation() ^ seed);
-            tokio::spawn(steer_control::follow(
-                Arc::clone(&sources),
-                store.clone(),
-                kind,
-                feed,
-                is_reader.clone(),
-            ));
+        let current = fs::read(path).ok();
+        if current != known {
+            known = current;
+            reload(state, &mut tasks, path);
         }
-        tokio::spawn(steer_probe::serve(
-            Arc::clone(&state),
-            probes,
-            inputs.clone(),
-            Arc::clone(&waker),
-        ));
-        tokio::spawn(expire(Arc::clone(&sources)));
-        let me = settings.place();
-        serve_http(me.address, steer_peers::router(Arc::clone(&sources))).await?;
-        let (place_sender, places) = mpsc::unbounded_channel();
-        let circle = Circle::new(
-            peer::Settings::default(),
-            me.clone(),
-            state.clock.incarnation(),
-        );
-        let channels = steer_peers::Channels {
-            ended,
-            places,
-            is_reader: reader_sender,
-            inputs,
-            waker,
-        };
-        let reports = net::UdpSocket::bind(me.address).await?;
-        let client = Client::builder()
-            .no_proxy()
-            .build()
-            .map_err(client::Error::from)?;
-        tokio::spawn(steer_peers::exchange(
-            sources, reports, circle, client, channels,
-        ));
-        tokio::spawn(steer_peers::register(
-            Arc::clone(&state),
-            store,
-            me,
-            place_sender,
-            is_reader,
-        ));
-        state.journal.record(
-            &event::STEERING_STARTED,
-            format_args!(
-                "datagrams on {}, http on {}, peers on {}",
-                settings.datagrams,
-                settings.http,
-                settings.place().address
-            ),
-        );
-        Ok(())
     }
-}
-
-async fn serve_http(address: SocketAddr, router: Router) -> Result<(), Error> {
-    let listener = TcpListener::bind(address).await?;
-    // The server ends with the process.
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    leave(state, tasks.settings().lifecycle()).await;
     Ok(())
 }
 
-async fn expire(sources: Arc<Sources>) {
-    loop {
-        time::sleep(EXPIRE_INTERVAL).await;
-        sources.expire();
-    }
+fn started(state: &State, settings: &Settings) {
+    state.journal.record(
+        &event::STEERING_STARTED,
+        format_args!(
+            "datagrams on {}, http on {}, peers on {}",
+            settings.datagrams,
+            settings.http,
+            settings.place().address
+        ),
+    );
 }
 
-async fn reload(state: Arc<State>, path: PathBuf, mut hangup: Signal) {
-    let mut known = fs::read(&path).ok();
-    loop {
-        let _ = time::timeout(SETTINGS_INTERVAL, hangup.recv()).await;
-        let current = fs::read(&path).ok();
-        if current == known {
-            continue;
-        }
-        known = current;
-        match steer_settings::from_path(&path) {
-            Ok(settings) => state.journal.record(
-                &event::SETTINGS_RELOADED,
-                format_args!("settings of {}", settings.name),
-            ),
-            Err(error) => state
-                .journal
-                .record(&event::SETTINGS_REJECTED, format_args!("{error}")),
-        }
+fn reload(state: &State, tasks: &mut Tasks, path: &Path) {
+    let result = match steer_settings::from_path(path) {
+        Ok(settings) => tasks.reload(settings).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    match result {
+        Ok(()) => state.journal.record(
+            &event::SETTINGS_RELOADED,
+            format_args!("store at {}", tasks.settings().store),
+        ),
+        Err(error) => state
+            .journal
+            .record(&event::SETTINGS_REJECTED, format_args!("{error}")),
     }
 }
 
-async fn leave(state: &State) {
-    let leaving = state.phase().leave(state.clock.now());
+async fn leave(state: &State, settings: lifecycle::Settings) {
+    let leaving = state.phase().leave(settings, state.clock.now());
     state.set_phase(Phase::Leaving(leaving));
     state
         .journal
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -19,7 +19,7 @@
     reqwest::Client,
     serde::Deserialize,
     skylarkflow_adapter::{
-        client::{self, Store},
+        client::Store,
         object::{self, Registration},
     },
     skylarkflow_peer::{report, tables},
@@ -106,6 +106,7 @@
             Some(places) = channels.places.recv() => circle.introduce(state.clock.now(), places),
             _ = ticks.tick() => {
                 circle.advance(sources.age());
+                circle.set_cut_off(state.is_store_lost());
                 circle.tick(state.clock.now());
             }
         }
@@ -254,7 +255,7 @@
     }
 }
 
-fn failed(state: &State, error: &client::Error) {
+fn failed(state: &State, error: &skylarkflow_store::Error) {
     state.metrics.count(Counter::StoreFailures);
     state.journal.record_limited(
         state.clock.now(),
@@ -271,7 +272,7 @@
     is_due: bool,
     places: &UnboundedSender<Vec<Place>>,
     is_reader: bool,
-) -> Result<bool, client::Error> {
+) -> Result<bool, skylarkflow_store::Error> {
     let unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
     let mut others = Vec::new();
     let mut is_registered = false;
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -10,7 +10,7 @@
     skylarkflow_adapter::object,
     skylarkflow_peer::tables::Tables,
     skylarkflow_steering::{
-        directory::{Directory, Stamp},
+        directory::{self, Directory, Stamp},
         feed::Revision,
         lifecycle::Phase,
         peer::Age,
@@ -42,6 +42,11 @@
     Upstreams,
 }
 
+impl Kind {
+    /// Number of kinds.
+    pub const COUNT: usize = 2;
+}
+
 impl Sources {
     /// Creates sources that know nothing.
     pub fn new(state: Arc<State>, directory: Directory) -> Sources {
@@ -60,6 +65,11 @@
         &self.state
     }
 
+    /// Changes the settings of the directory of upstreams.
+    pub fn set_directory(&self, settings: directory::Settings) {
+        self.contents().directory.set_settings(settings);
+    }
+
     /// Forgets upstreams whose entries have been gone for long.
     pub fn expire(&self) {
         let now = self.state.clock.now();
--- a/crates/skylarkflow/src/steer_state.rs
+++ b/crates/skylarkflow/src/steer_state.rs
@@ -1,7 +1,10 @@
 //! State that the threads of a steering balancer share.
 
 use {
-    crate::{clock::Clock, journal::Journal, metrics::Metrics, steer_latency::Latencies},
+    crate::{
+        clock::Clock, journal::Journal, metrics::Metrics, steer_latency::Latencies,
+        steer_sources::Kind,
+    },
     skylarkflow_steering::{lifecycle::Phase, table::Table},
     std::{
         sync::{
@@ -27,6 +30,8 @@
     phase: Mutex<Phase>,
     last_packet: AtomicU64,
     is_stopped: AtomicBool,
+    /// For each kind of object, whether the last call of the store failed.
+    is_store_lost: [AtomicBool; Kind::COUNT],
 }
 
 impl State {
@@ -42,6 +47,7 @@
             phase: Mutex::new(phase),
             last_packet: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
+            is_store_lost: [const { AtomicBool::new(false) }; Kind::COUNT],
         }
     }
 
@@ -83,6 +89,18 @@
         Duration::from_millis(self.last_packet.load(Ordering::Relaxed))
     }
 
+    /// Records whether the last call of the store for a kind of object failed.
+    pub fn set_store_lost(&self, kind: Kind, is_lost: bool) {
+        self.is_store_lost[kind as usize].store(is_lost, Ordering::Relaxed);
+    }
+
+    /// Returns whether calls of the store fail.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost
+            .iter()
+            .any(|is_lost| is_lost.load(Ordering::Relaxed))
+    }
+
     /// Ends the threads.
     pub fn stop(&self) {
         self.is_stopped.store(true, Ordering::Relaxed);
--- /dev/null
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -0,0 +1,173 @@
+//! The tasks of a steering balancer beside the thread that handles packets.
+
+use {
+    crate::{
+        steer_control::{self, EXPIRE_INTERVAL},
+        steer_daemon::Error,
+        steer_data::Input,
+        steer_http, steer_peers,
+        steer_probe::{self, Probe, Waker},
+        steer_settings::Settings,
+        steer_sources::{Kind, Sources},
+        steer_state::State,
+    },
+    axum::Router,
+    crossbeam::channel::Sender,
+    reqwest::Client,
+    skylarkflow_adapter::client::Store,
+    skylarkflow_steering::{
+        directory::Directory,
+        feed::Feed,
+        peer::{self, Circle, Place},
+        upstream::UpstreamId,
+    },
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        sync::{
+            mpsc::{self, UnboundedReceiver, UnboundedSender},
+            watch,
+        },
+        task::JoinHandle,
+        time,
+    },
+};
+
+/// What the tasks need of the thread that handles packets.
+pub struct Ends {
+    /// Probes to be made.
+    pub probes: UnboundedReceiver<Probe>,
+    /// Upstreams that have ended.
+    pub ended: UnboundedReceiver<UpstreamId>,
+    /// Findings for the thread.
+    pub inputs: Sender<Input>,
+    /// Wakes the thread.
+    pub waker: Arc<Waker>,
+}
+
+/// The running tasks.
+pub struct Tasks {
+    sources: Arc<Sources>,
+    settings: Settings,
+    is_reader: watch::Receiver<bool>,
+    places: UnboundedSender<Vec<Place>>,
+    /// Tasks that call the store.
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Tasks {
+    /// Starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or a client cannot be set up.
+    pub async fn start(state: &Arc<State>, settings: Settings, ends: Ends) -> Result<Tasks, Error> {
+        let router = steer_http::router(Arc::clone(state));
+        if let Some(metrics) = settings.metrics {
+            serve_http(metrics, router.clone()).await?;
+        }
+        serve_http(settings.http, router).await?;
+        let directory = Directory::new(settings.directory());
+        let sources = Arc::new(Sources::new(Arc::clone(state), directory));
+        let (reader_sender, is_reader) = watch::channel(false);
+        let (places, place_receiver) = mpsc::unbounded_channel();
+        let mut tasks = Tasks {
+            sources: Arc::clone(&sources),
+            settings,
+            is_reader,
+            places,
+            callers: Vec::new(),
+        };
+        tasks.call_store()?;
+        tokio::spawn(expire(Arc::clone(&sources)));
+        let me = tasks.settings.place();
+        serve_http(me.address, steer_peers::router(Arc::clone(&sources))).await?;
+        let reports = UdpSocket::bind(me.address).await?;
+        let started = state.clock.incarnation();
+        let circle = Circle::new(peer::Settings::default(), me, started);
+        tokio::spawn(steer_probe::serve(
+            Arc::clone(state),
+            ends.probes,
+            ends.inputs.clone(),
+            Arc::clone(&ends.waker),
+        ));
+        let client = Client::builder().no_proxy().build();
+        let client = client.map_err(skylarkflow_store::Error::from)?;
+        let channels = steer_peers::Channels {
+            ended: ends.ended,
+            places: place_receiver,
+            is_reader: reader_sender,
+            inputs: ends.inputs,
+            waker: ends.waker,
+        };
+        tokio::spawn(steer_peers::exchange(
+            sources, reports, circle, client, channels,
+        ));
+        Ok(tasks)
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Takes changed settings into force, except those that name the process or its sockets.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a client of the store cannot be set up; the settings before stay in force.
+    pub fn reload(&mut self, settings: Settings) -> Result<(), Error> {
+        self.sources.set_directory(settings.directory());
+        let has_moved = settings.store != self.settings.store;
+        self.settings = Settings {
+            store: settings.store,
+            bounds: settings.bounds,
+            ..self.settings.clone()
+        };
+        if has_moved {
+            self.call_store()?;
+        }
+        Ok(())
+    }
+
+    /// Starts the tasks that call the store, after it has another address anew.
+    fn call_store(&mut self) -> Result<(), Error> {
+        let store = Store::new(self.settings.store)?;
+        for task in self.callers.drain(..) {
+            task.abort();
+        }
+        let state = self.sources.state();
+        for (seed, kind) in (0..).zip([Kind::Config, Kind::Upstreams]) {
+            let feed = Feed::new(self.settings.feed(), state.clock.incarnation() ^ seed);
+            self.callers.push(tokio::spawn(steer_control::follow(
+                Arc::clone(&self.sources),
+                store.clone(),
+                kind,
+                feed,
+                self.is_reader.clone(),
+            )));
+        }
+        self.callers.push(tokio::spawn(steer_peers::register(
+            Arc::clone(state),
+            store,
+            self.settings.place(),
+            self.places.clone(),
+            self.is_reader.clone(),
+        )));
+        Ok(())
+    }
+}
+
+async fn serve_http(address: SocketAddr, router: Router) -> Result<(), Error> {
+    let listener = TcpListener::bind(address).await?;
+    // The server ends with the process.
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
+async fn expire(sources: Arc<Sources>) {
+    loop {
+        time::sleep(EXPIRE_INTERVAL).await;
+        sources.expire();
+    }
+}
--- a/crates/skylarkflow/src/tables.rs
+++ b/crates/skylarkflow/src/tables.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::settings,
-    skylarkflow_platform::{
+    skylarkflow_store::{
         check::{self, Tables},
         finding::{Code, Finding},
         table::{Pools, Routes},
--- a/crates/skylarkflow/tests/operate.rs
+++ b/crates/skylarkflow/tests/operate.rs
@@ -2,7 +2,7 @@
 
 use {
     skylarkflow_emulator::{fault::Faults, platform::Platform},
-    skylarkflow_platform::plan,
+    skylarkflow_store::plan,
     std::{
         fs,
         io::{BufRead, BufReader, Write},
--- a/crates/steering/src/lifecycle.rs
+++ b/crates/steering/src/lifecycle.rs
@@ -27,16 +27,12 @@
 }
 
 /// Has no complete table yet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Starting {
-    settings: Settings,
-}
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Starting;
 
 /// Takes new flows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Serving {
-    settings: Settings,
-}
+pub struct Serving(());
 
 /// Forwards until no packets arrive any more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,29 +53,22 @@
 }
 
 impl Starting {
-    /// Begins a life.
-    pub fn new(settings: Settings) -> Starting {
-        Starting { settings }
-    }
-
     /// Begins to serve.
     pub fn serve(self) -> Serving {
-        Serving {
-            settings: self.settings,
-        }
+        Serving(())
     }
 
     /// Ends before it has served.
-    pub fn leave(self, now: Duration) -> Leaving {
-        self.serve().leave(now)
+    pub fn leave(self, settings: Settings, now: Duration) -> Leaving {
+        self.serve().leave(settings, now)
     }
 }
 
 impl Serving {
     /// Begins the planned stop.
-    pub fn leave(self, now: Duration) -> Leaving {
+    pub fn leave(self, settings: Settings, now: Duration) -> Leaving {
         Leaving {
-            settings: self.settings,
+            settings,
             since: now,
         }
     }
@@ -101,10 +90,10 @@
     }
 
     /// Begins the planned stop, unless it has begun.
-    pub fn leave(self, now: Duration) -> Leaving {
+    pub fn leave(self, settings: Settings, now: Duration) -> Leaving {
         match self {
-            Phase::Starting(starting) => starting.leave(now),
-            Phase::Serving(serving) => serving.leave(now),
+            Phase::Starting(starting) => starting.leave(settings, now),
+            Phase::Serving(serving) => serving.leave(settings, now),
             Phase::Leaving(leaving) => leaving,
         }
     }
--- a/crates/steering/src/peer.rs
+++ b/crates/steering/src/peer.rs
@@ -25,7 +25,8 @@
     pub interval: Duration,
     /// Least time between two reports with news.
     pub least_interval: Duration,
-    /// Balancers of the own zone that get a report: the next ones by name, so that each also gets as many.
+    /// Most balancers of the own zone that get a report: those at distances of 1, 2, 4 and so on in the order of names,
+    /// so that news reaches all in a logarithmic number of hops and each gets as many reports as it sends.
     pub fanout: usize,
     /// Balancers of each other zone that a reader reports to.
     pub remote_fanout: usize,
@@ -51,10 +52,10 @@
         Settings {
             interval: Duration::from_millis(500),
             least_interval: Duration::from_millis(100),
-            fanout: 6,
+            fanout: 10,
             remote_fanout: 1,
             readers: 1,
-            reader_age: Duration::from_secs(2),
+            reader_age: Duration::from_secs(3),
             member_age: Duration::from_secs(60),
             ended_age: Duration::from_secs(2),
             patience: Duration::from_millis(600),
@@ -154,6 +155,8 @@
     ended: Map<UpstreamId, Duration>,
     reported: Duration,
     has_news: bool,
+    /// Whether calls of the store fail, so that only peers can tell what is new.
+    is_cut_off: bool,
     /// Time since which a reader is missing.
     vacant: Option<Duration>,
     /// Time since which a peer is ahead.
@@ -176,6 +179,7 @@
             ended: Map::default(),
             reported: Duration::ZERO,
             has_news: true,
+            is_cut_off: false,
             vacant: None,
             behind: None,
             actions: Vec::new(),
@@ -232,6 +236,11 @@
         }
     }
 
+    /// Records whether calls of the store fail.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
     /// Records that an upstream has ended.
     pub fn ended(&mut self, now: Duration, id: UpstreamId) {
         self.ended.insert(id, now);
@@ -308,12 +317,19 @@
         let Settings {
             readers,
             reader_age,
+            member_age,
             ..
         } = self.settings;
+        // Old heartbeats stay known, so that a late report does not make them look new.
         self.pulses
-            .retain(|_, pulse| now < pulse.advanced + reader_age);
-        let before = self.pulses.range(..self.me.name.clone()).count();
-        let others = self.pulses.len() - usize::from(self.pulses.contains_key(&self.me.name));
+            .retain(|_, pulse| now < pulse.advanced + member_age);
+        let me = &self.me.name;
+        let fresh = |pulse: &Pulse| now < pulse.advanced + reader_age;
+        let others = self.pulses.iter();
+        let others = others.filter(|(name, pulse)| *name != me && fresh(pulse));
+        let others = others.count();
+        let before = self.pulses.range(..me.clone());
+        let before = before.filter(|(_, pulse)| fresh(pulse)).count();
         if others >= readers {
             self.vacant = None;
         }
@@ -328,9 +344,6 @@
             self.has_news = true;
             self.actions.push(Action::Read(is_reader));
         }
-        if !is_reader {
-            self.pulses.remove(&self.me.name);
-        }
     }
 
     fn steps_in(&mut self, now: Duration) -> bool {
@@ -360,7 +373,12 @@
             return;
         };
         let since = *self.behind.get_or_insert(now);
-        if now >= since + self.settings.patience {
+        let patience = if self.is_cut_off {
+            Duration::ZERO
+        } else {
+            self.settings.patience
+        };
+        if now >= since + patience {
             self.behind = Some(now);
             self.actions.push(Action::Ask {
                 address: member.place.address,
@@ -384,7 +402,7 @@
         let report = Report {
             from: self.me.clone(),
             age: self.age,
-            readers: self.freshest(),
+            readers: self.freshest(now),
             ended: self.ended.keys().copied().collect(),
         };
         let receivers = self.receivers();
@@ -394,15 +412,19 @@
         self.actions.extend(sends);
     }
 
-    fn freshest(&self) -> Vec<Beat> {
+    fn freshest(&self, now: Duration) -> Vec<Beat> {
+        let reader_age = self.settings.reader_age;
+        let fresh = self
+            .pulses
+            .iter()
+            .filter(|(_, pulse)| now < pulse.advanced + reader_age);
         let beat = |(name, pulse): (&Name, &Pulse)| Beat {
             name: name.clone(),
             started: pulse.started,
             count: pulse.count,
         };
         // Readers with low names stay, so the others need not be known.
-        let pulses = self.pulses.iter().take(self.settings.readers + 1);
-        pulses.map(beat).collect()
+        fresh.take(self.settings.readers + 1).map(beat).collect()
     }
 
     fn receivers(&self) -> Vec<SocketAddr> {
@@ -414,8 +436,10 @@
             .iter()
             .filter(|member| member.place.zone == self.me.zone);
         let mut receivers: Vec<SocketAddr> = own
+            .enumerate()
+            .filter(|(index, _)| (index + 1).is_power_of_two())
             .take(self.settings.fanout)
-            .map(|member| member.place.address)
+            .map(|(_, member)| member.place.address)
             .collect();
         if self.is_reader {
             let mut zones: Map<&str, usize> = Map::default();
--- /dev/null
+++ b/crates/steering/tests/circles.rs
@@ -0,0 +1,199 @@
+//! Reports between balancers, with and without faults, in virtual time.
+
+use {
+    skylarkflow_steering::peer::{Action, Age, Circle, Place, Settings},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+};
+
+struct Node {
+    circle: Circle,
+    age: Age,
+    asked: usize,
+    sent: usize,
+    is_up: bool,
+    hears: bool,
+}
+
+struct Fleet {
+    now: Duration,
+    nodes: BTreeMap<SocketAddr, Node>,
+}
+
+fn place(index: usize, zones: usize) -> Place {
+    Place {
+        name: format!("b{index:04}"),
+        zone: format!("z{}", index % zones),
+        address: SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7200)),
+    }
+}
+
+impl Fleet {
+    fn new(count: usize, zones: usize) -> Fleet {
+        let places: Vec<Place> = (0..count).map(|index| place(index, zones)).collect();
+        let node = |place: &Place| {
+            let mut circle = Circle::new(Settings::default(), place.clone(), 1);
+            circle.introduce(Duration::ZERO, places.clone());
+            let node = Node {
+                circle,
+                age: Age::default(),
+                asked: 0,
+                sent: 0,
+                is_up: true,
+                hears: true,
+            };
+            (place.address, node)
+        };
+        Fleet {
+            now: Duration::ZERO,
+            nodes: places.iter().map(node).collect(),
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(100);
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        let mut actions = Vec::new();
+        for (&address, node) in self.nodes.iter_mut().filter(|(_, node)| node.is_up) {
+            node.circle.advance(node.age);
+            node.circle.tick(now);
+            for action in node.circle.take_actions() {
+                node.sent += usize::from(matches!(action, Action::Send(..)));
+                actions.push((address, action));
+            }
+        }
+        for (from, action) in actions {
+            self.perform(from, action);
+        }
+    }
+
+    fn perform(&mut self, from: SocketAddr, action: Action) {
+        let now = self.now;
+        match action {
+            Action::Send(to, report) => {
+                let node = self
+                    .nodes
+                    .get_mut(&to)
+                    .filter(|node| node.is_up && node.hears);
+                if let Some(node) = node {
+                    node.circle.receive(now, report);
+                }
+            }
+            Action::Ask { address, .. } => {
+                let peer = self.nodes.get(&address).filter(|node| node.is_up);
+                let age = peer.map(|node| node.age);
+                let node = self.nodes.get_mut(&from).expect("the asker exists");
+                node.asked += 1;
+                node.age = node.age.max(age.unwrap_or_default());
+            }
+            Action::Doubt(_) | Action::Read(_) => {}
+        }
+    }
+
+    fn readers(&self, zone: usize, zones: usize) -> usize {
+        let nodes = self.nodes.values().enumerate();
+        nodes
+            .filter(|(index, _)| index % zones == zone)
+            .filter(|(_, node)| node.is_up && node.circle.is_reader())
+            .count()
+    }
+}
+
+/// Guards against calls of the store that grow with the balancers, and against a zone without a reader.
+#[test]
+fn each_zone_has_one_reader_whatever_its_size() {
+    for (count, zones) in [(8, 3), (65, 3), (300, 5)] {
+        let mut fleet = Fleet::new(count, zones);
+        fleet.run(Duration::from_secs(15));
+        let readers: Vec<usize> = (0..zones).map(|zone| fleet.readers(zone, zones)).collect();
+        assert_eq!(readers, vec![1; zones], "{count} balancers");
+    }
+}
+
+/// Guards against a zone that nobody reads for after its reader has died.
+#[test]
+fn another_balancer_steps_in_for_a_reader_that_is_gone() {
+    let mut fleet = Fleet::new(30, 1);
+    fleet.run(Duration::from_secs(10));
+    let reader = fleet
+        .nodes
+        .values_mut()
+        .find(|node| node.circle.is_reader());
+    reader.expect("a reader exists").is_up = false;
+    // Heartbeats count for 3 s, and the next balancer by name waits for another 100 ms.
+    fleet.run(Duration::from_secs(4));
+    assert!(fleet.readers(0, 1) >= 1);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.readers(0, 1), 1);
+}
+
+/// Guards against a balancer that keeps an old table because the store does not answer it. One balancer has a newer
+/// table, and nobody else gets an answer of the store.
+#[test]
+fn a_newer_table_reaches_everybody_within_the_bound() {
+    // The bounds of the platform's small and grown deployments for a configuration to be in force.
+    for (count, bound) in [(8, 3), (65, 5), (300, 5)] {
+        let mut fleet = Fleet::new(count, 3);
+        fleet.run(Duration::from_secs(10));
+        for node in fleet.nodes.values_mut() {
+            node.circle.set_cut_off(true);
+        }
+        let first = fleet.nodes.values_mut().next().expect("a balancer");
+        first.age = Age {
+            version: 5,
+            revision: 50,
+        };
+        fleet.run(Duration::from_secs(bound));
+        let is_everywhere = fleet.nodes.values().all(|node| node.age.version == 5);
+        assert!(is_everywhere, "{count} balancers");
+    }
+}
+
+/// Guards against control traffic that grows with the fleet: from 65 to 300 balancers, a zone that is five times as
+/// large adds two hops, and so two receivers for each report.
+#[test]
+fn reports_of_a_balancer_do_not_grow_with_the_fleet() {
+    let most = |count: usize| {
+        let mut fleet = Fleet::new(count, 3);
+        fleet.run(Duration::from_secs(20));
+        let before: Vec<usize> = fleet.nodes.values().map(|node| node.sent).collect();
+        fleet.run(Duration::from_secs(10));
+        let after = fleet.nodes.values().map(|node| node.sent);
+        let sent = after.zip(before).map(|(after, before)| after - before);
+        sent.max().unwrap_or_default()
+    };
+    let rounds = 20;
+    assert!(
+        most(300) <= most(65) + 3 * rounds,
+        "{} and {}",
+        most(65),
+        most(300)
+    );
+}
+
+/// Guards against a balancer that was cut off and goes on with old tables when it is back.
+#[test]
+fn a_balancer_that_was_cut_off_catches_up() {
+    let mut fleet = Fleet::new(8, 2);
+    fleet.run(Duration::from_secs(10));
+    let cut = *fleet.nodes.keys().last().expect("a balancer");
+    fleet.nodes.get_mut(&cut).expect("it exists").hears = false;
+    for (_, node) in fleet
+        .nodes
+        .iter_mut()
+        .filter(|(address, _)| **address != cut)
+    {
+        node.age.version = 9;
+    }
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.nodes[&cut].age.version, 0);
+    fleet.nodes.get_mut(&cut).expect("it exists").hears = true;
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.nodes[&cut].age.version, 9);
+}
--- /dev/null
+++ b/crates/steering/tests/cookies.rs
@@ -0,0 +1,55 @@
+//! Cookies name upstreams alike on every balancer.
+
+use {
+    proptest::prelude::*,
+    skylarkflow_steering::cookie::{self, Claim},
+    std::collections::BTreeSet,
+};
+
+/// Finds two identifiers whose first cookies are equal; 2^17 identifiers contain some.
+fn collision() -> (u64, u64) {
+    let mut seen = std::collections::HashMap::new();
+    for id in 0..1_u64 << 18 {
+        if let Some(other) = seen.insert(cookie::derive(id, 0), id) {
+            return (other, id);
+        }
+    }
+    panic!("no collision among 2^18 identifiers");
+}
+
+/// Guards against open flows of an upstream going to a later one that hashes to the same cookie.
+#[test]
+fn the_upstream_that_started_first_keeps_a_shared_cookie() {
+    let (a, b) = collision();
+    let older = Claim { born: 1, id: b };
+    let newer = Claim { born: 2, id: a };
+    let alone = cookie::assign(&[older]);
+    let both = cookie::assign(&[newer, older]);
+    assert_eq!(both[&b], alone[&b]);
+    assert_ne!(both[&a], both[&b]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Guards against balancers that read the list in another order and derive other cookies, against the cookie 0, and
+    /// against two upstreams with one cookie.
+    #[test]
+    fn cookies_depend_on_the_set_alone(ids in prop::collection::btree_map(any::<u64>(), 0_u64..4, 1..200)) {
+        let claims: Vec<Claim> = ids.iter().map(|(&id, &born)| Claim { born, id }).collect();
+        let reversed: Vec<Claim> = claims.iter().rev().copied().collect();
+        let assigned = cookie::assign(&claims);
+        prop_assert_eq!(&assigned, &cookie::assign(&reversed));
+        prop_assert_eq!(assigned.len(), claims.len());
+        let distinct: BTreeSet<u32> = assigned.values().copied().collect();
+        prop_assert_eq!(distinct.len(), claims.len());
+        prop_assert!(!distinct.contains(&0));
+    }
+}
+
+/// Guards against upstreams without a cookie at the size in two years.
+#[test]
+fn every_upstream_of_35000_has_a_cookie() {
+    let claims: Vec<Claim> = (0..35_000).map(|id| Claim { born: id % 7, id }).collect();
+    assert_eq!(cookie::assign(&claims).len(), claims.len());
+}
--- /dev/null
+++ b/crates/steering/tests/crashed_upstreams.rs
@@ -0,0 +1,142 @@
+//! Regression: upstreams that end without a word, replayed on the decisions in virtual time.
+
+mod support;
+
+use {
+    skylarkflow_steering::{
+        balancer::{Action, Balancer, Verdict},
+        liveness::Outcome,
+        table::Table,
+    },
+    support::{balancer, data, directory, ms, open, record, table, target},
+};
+
+fn probes(balancer: &mut Balancer) -> Vec<u64> {
+    let actions = balancer.take_actions().into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Probe(upstream) => Some(upstream.record.id),
+            _ => None,
+        })
+        .collect()
+}
+
+fn cookie(table: &Table, id: u64) -> u32 {
+    let found = table
+        .cookies
+        .iter()
+        .find(|(_, upstream)| upstream.record.id == id);
+    *found.expect("the upstream has a cookie").0
+}
+
+/// Guards against an upstream that refuses at once, which only its callers see, drawing flow after flow because it
+/// looks idle.
+#[test]
+fn an_upstream_that_never_answers_draws_one_flow_and_then_none() {
+    let directory = directory(&[record(1, "a"), record(2, "a")]);
+    let table = table(&directory);
+    let mut balancer = balancer("a");
+    let mut to_dead = 0;
+    for step in 0..200_u16 {
+        let now = ms(u64::from(step) * 20);
+        balancer.check(now, Some(&table));
+        for id in probes(&mut balancer) {
+            let outcome = if id == 1 {
+                Outcome::Refused
+            } else {
+                Outcome::Answered
+            };
+            balancer.probed(now, Some(&table), now, id, outcome);
+        }
+        let upstream = target(balancer.handle(now, Some(&table), &open(step, 0)));
+        if upstream.record.id == 1 {
+            to_dead += 1;
+        } else {
+            let answered = data(step, cookie(&table, 2), 1, 1);
+            balancer.handle(now + ms(9), Some(&table), &answered);
+        }
+    }
+    assert_eq!(to_dead, 1);
+}
+
+/// Guards against callers that wait for their deadlines on an upstream that has ended: their flows are reset, the idle
+/// ones too, and later packets get a reset each.
+#[test]
+fn flows_of_an_upstream_that_has_ended_are_reset() {
+    let directory = directory(&[record(1, "a")]);
+    let table = table(&directory);
+    let cookie = cookie(&table, 1);
+    let mut balancer = balancer("a");
+    for port in 0..3 {
+        balancer.handle(ms(0), Some(&table), &open(port, 0));
+        balancer.handle(ms(9), Some(&table), &data(port, cookie, 1, 1));
+        balancer.handle(ms(40), Some(&table), &data(port, cookie, 201, 900));
+    }
+    // The request of one flow is repeated, as its upstream is gone.
+    balancer.handle(ms(240), Some(&table), &data(0, cookie, 201, 900));
+    assert_eq!(probes(&mut balancer), [1]);
+    balancer.probed(ms(490), Some(&table), ms(240), 1, Outcome::TimedOut);
+    let resets = balancer.take_actions().into_iter();
+    let resets = resets.filter(|action| matches!(action, Action::Reset { .. }));
+    assert_eq!(resets.count(), 3);
+    let late = balancer.handle(ms(500), Some(&table), &data(7, cookie, 5, 5));
+    assert!(matches!(late, Verdict::Reset(_)), "{late:?}");
+}
+
+/// Guards against a reset of flows whose upstream is only slow: an answer on any of its flows after the probe was sent
+/// outweighs the silence.
+#[test]
+fn an_answer_outweighs_a_probe_that_timed_out() {
+    let directory = directory(&[record(1, "a")]);
+    let table = table(&directory);
+    let cookie = cookie(&table, 1);
+    let mut balancer = balancer("a");
+    balancer.handle(ms(0), Some(&table), &data(1, cookie, 1, 1));
+    balancer.handle(ms(0), Some(&table), &data(2, cookie, 1, 1));
+    balancer.handle(ms(200), Some(&table), &data(1, cookie, 1, 1));
+    assert_eq!(probes(&mut balancer), [1]);
+    balancer.handle(ms(300), Some(&table), &data(2, cookie, 201, 700));
+    balancer.probed(ms(450), Some(&table), ms(200), 1, Outcome::TimedOut);
+    assert!(!balancer.looks_down(1));
+}
+
+/// Guards against flows that stay on an address after another upstream has taken it.
+#[test]
+fn an_upstream_whose_address_was_taken_has_ended() {
+    let mut directory = directory(&[record(1, "a")]);
+    let before = table(&directory);
+    let cookie = cookie(&before, 1);
+    let mut balancer = balancer("a");
+    balancer.refresh(ms(0), None, &before);
+    balancer.handle(ms(0), Some(&before), &data(1, cookie, 1, 1));
+    let mut next = record(2, "a");
+    next.address = record(1, "a").address;
+    next.pool = "manifests".to_owned();
+    directory.replace(ms(3_000), 9, vec![(8, next)]);
+    let after = table(&directory);
+    balancer.refresh(ms(3_000), Some(&before), &after);
+    let resets = balancer.take_actions().into_iter();
+    assert_eq!(
+        resets
+            .filter(|action| matches!(action, Action::Reset { .. }))
+            .count(),
+        1
+    );
+}
+
+/// Guards against an upstream that stays out of use after it was cut off and is back.
+#[test]
+fn an_upstream_that_answers_again_is_used_again() {
+    let directory = directory(&[record(1, "a")]);
+    let table = table(&directory);
+    let mut balancer = balancer("a");
+    balancer.handle(ms(0), Some(&table), &open(1, 0));
+    balancer.check(ms(40), Some(&table));
+    assert_eq!(probes(&mut balancer), [1]);
+    balancer.probed(ms(300), Some(&table), ms(40), 1, Outcome::TimedOut);
+    assert!(balancer.looks_down(1));
+    balancer.tick(ms(1_100), Some(&table));
+    assert_eq!(probes(&mut balancer), [1]);
+    balancer.probed(ms(1_110), Some(&table), ms(1_100), 1, Outcome::Answered);
+    assert!(!balancer.looks_down(1));
+}
--- /dev/null
+++ b/crates/steering/tests/feeds.rs
@@ -0,0 +1,74 @@
+//! How the store is read while it is slow, down, forgetful or served by an old copy.
+
+use {
+    skylarkflow_steering::feed::{Answer, Call, Feed, Settings, Use},
+    std::time::Duration,
+};
+
+fn feed() -> Feed {
+    Feed::new(Settings::default(), 3)
+}
+
+fn page(revision: u64, next: Option<&str>) -> Answer {
+    Answer::Page {
+        revision,
+        next: next.map(str::to_owned),
+    }
+}
+
+/// Guards against changes that are lost between the pages of a list: the watch begins at the first page.
+#[test]
+fn a_list_of_several_pages_is_followed_from_its_first_page() {
+    let mut feed = feed();
+    assert_eq!(
+        feed.answer(Duration::ZERO, page(10, Some("m"))),
+        Use::Collect
+    );
+    assert_eq!(feed.answer(Duration::ZERO, page(14, None)), Use::Replace);
+    let (_, call) = feed.next();
+    assert!(matches!(call, Call::Watch { revision: 10, .. }), "{call:?}");
+}
+
+/// Guards against a table that reverts because the store answers from an older copy.
+#[test]
+fn answers_that_are_older_than_what_is_known_are_ignored() {
+    let mut feed = feed();
+    feed.answer(Duration::ZERO, page(10, None));
+    let older = Answer::Changes { revision: 8 };
+    assert_eq!(feed.answer(Duration::ZERO, older), Use::Ignore);
+    assert_eq!(feed.answer(Duration::ZERO, page(9, None)), Use::Ignore);
+    assert_eq!(feed.answer(Duration::ZERO, page(11, None)), Use::Replace);
+}
+
+/// Guards against a watch that goes on from a revision whose history the store has dropped, and against a list from a
+/// copy after that.
+#[test]
+fn dropped_history_leads_to_a_current_list() {
+    let mut feed = feed();
+    feed.answer(Duration::ZERO, page(10, None));
+    feed.answer(Duration::from_secs(1), Answer::Gone);
+    let expected = Call::List {
+        after: None,
+        is_current: true,
+    };
+    assert_eq!(feed.next(), (Duration::from_secs(1), expected));
+}
+
+/// Guards against calls in quick succession while the store is down, and against a wait that exceeds a third of the time
+/// in which a change has to be in force.
+#[test]
+fn failures_are_retried_with_a_growing_and_bounded_pause() {
+    let mut feed = feed();
+    let mut pauses = Vec::new();
+    for _ in 0..10 {
+        feed.answer(Duration::ZERO, Answer::Failed);
+        pauses.push(feed.next().0);
+    }
+    assert!(pauses[0] >= Duration::from_millis(75), "{pauses:?}");
+    assert!(
+        pauses
+            .iter()
+            .all(|&pause| pause <= Duration::from_millis(1_250))
+    );
+    assert!(pauses[9] >= Duration::from_millis(750), "{pauses:?}");
+}
--- /dev/null
+++ b/crates/steering/tests/tables.rs
@@ -0,0 +1,163 @@
+//! Adoption of configurations and of entries of upstreams.
+
+mod support;
+
+use {
+    assert_matches::assert_matches,
+    skylarkflow_steering::{
+        balancer::{Cause, Refusal, Verdict},
+        directory::Stamp,
+        table::{Adoption, Routes},
+        upstream::{Record, State},
+    },
+    std::{net::SocketAddr, time::Duration},
+    support::{balancer, config, data, directory, ms, open, record, service, table},
+};
+
+fn stamp(revision: u64) -> Stamp {
+    Stamp {
+        revision,
+        shown: revision,
+    }
+}
+
+/// Guards against a configuration that reverts because an answer of the store or of a peer is old.
+#[test]
+fn an_older_version_is_refused() {
+    let mut routes = Routes::default();
+    assert_eq!(routes.offer(config(7, &[service()])), Adoption::Adopted);
+    assert_eq!(routes.offer(config(7, &[])), Adoption::Known);
+    assert_eq!(
+        routes.offer(config(6, &[])),
+        Adoption::Older { in_force: 7 }
+    );
+    assert_eq!(routes.version(), Some(7));
+}
+
+/// Guards against resets by a balancer that has no configuration yet: the flow may well have a route.
+#[test]
+fn nothing_is_reset_before_a_table_is_in_force() {
+    let mut balancer = balancer("a");
+    assert_matches!(
+        balancer.handle(ms(0), None, &open(1, 0)),
+        Verdict::Drop(Cause::NoTable)
+    );
+    assert_matches!(
+        balancer.handle(ms(0), None, &data(1, 5, 0, 0)),
+        Verdict::Drop(Cause::NoTable)
+    );
+}
+
+/// Guards against a reset of an open flow by a balancer that has not yet heard of its route; only a route that was seen
+/// and is gone ends flows.
+#[test]
+fn open_flows_end_only_with_a_route_that_was_removed() {
+    let directory = directory(&[record(1, "a")]);
+    let other = SocketAddr::from(([198, 18, 0, 9], 1));
+    let mut routes = Routes::default();
+    routes.offer(config(1, &[other]));
+    let table = routes.table(directory.view(ms(0))).expect("configured");
+    let cookie = table.cookies.keys().copied().next().expect("one upstream");
+    let mut balancer = balancer("a");
+    let flow = data(1, cookie, 10, 10);
+    assert_matches!(
+        balancer.handle(ms(0), Some(&table), &flow),
+        Verdict::Forward { .. }
+    );
+    assert_matches!(
+        balancer.handle(ms(0), Some(&table), &open(2, 0)),
+        Verdict::Reset(Refusal::NoRoute)
+    );
+    routes.offer(config(2, &[service()]));
+    routes.offer(config(3, &[other]));
+    let table = routes.table(directory.view(ms(0))).expect("configured");
+    assert_matches!(
+        balancer.handle(ms(1), Some(&table), &flow),
+        Verdict::Reset(Refusal::RouteRemoved)
+    );
+}
+
+/// Guards against new flows to an upstream that drains, and against a loss of its open ones.
+#[test]
+fn a_draining_upstream_keeps_its_flows_and_gets_no_new_ones() {
+    let mut directory = directory(&[record(1, "a"), record(2, "a")]);
+    let cookie = table(&directory)
+        .cookies
+        .iter()
+        .find(|(_, upstream)| upstream.record.id == 1)
+        .map(|(cookie, _)| *cookie)
+        .expect("upstream 1 has a cookie");
+    let draining = Record {
+        state: State::Draining,
+        ..record(1, "a")
+    };
+    directory.insert(ms(0), stamp(2), draining);
+    let table = table(&directory);
+    let mut balancer = balancer("a");
+    for port in 0..50 {
+        let upstream = support::target(balancer.handle(ms(0), Some(&table), &open(port, 0)));
+        assert_eq!(upstream.record.id, 2);
+    }
+    let kept = support::target(balancer.handle(ms(1), Some(&table), &data(99, cookie, 1, 1)));
+    assert_eq!(kept.record.id, 1);
+}
+
+/// Guards against a drain mark that is undone by an older change, which a lagging copy of the store delivers later.
+#[test]
+fn older_changes_of_an_entry_are_ignored() {
+    let mut directory = directory(&[]);
+    let draining = Record {
+        state: State::Draining,
+        ..record(1, "a")
+    };
+    directory.insert(ms(0), stamp(9), draining);
+    directory.insert(ms(1), stamp(5), record(1, "a"));
+    directory.remove(ms(2), stamp(7), 1);
+    let states: Vec<State> = directory.registered().map(|record| record.state).collect();
+    assert_eq!(states, [State::Draining]);
+}
+
+/// Guards against a refusal of all callers when the entries of a whole pool lapse while the store is away, and against
+/// use of upstreams that have not returned after the time in which they would.
+#[test]
+fn a_pool_whose_entries_lapse_at_once_is_used_until_they_would_be_back() {
+    let records: Vec<Record> = (1..=4).map(|id| record(id, "a")).collect();
+    let mut directory = directory(&records);
+    directory.replace(ms(1_000), 5, Vec::new());
+    let usable = |now: Duration| {
+        directory
+            .view(now)
+            .pools
+            .get("dispatch")
+            .map_or(0, Vec::len)
+    };
+    assert_eq!(usable(ms(1_100)), 4);
+    assert_eq!(usable(ms(3_300)), 0);
+}
+
+/// Guards against new flows to a single upstream whose entry is gone while the rest of its pool is there.
+#[test]
+fn a_single_entry_that_is_gone_is_not_used() {
+    let records: Vec<Record> = (1..=4).map(|id| record(id, "a")).collect();
+    let mut directory = directory(&records);
+    directory.remove(ms(1_000), stamp(5), 2);
+    assert_eq!(directory.view(ms(1_001)).pools["dispatch"].len(), 3);
+    assert_eq!(directory.view(ms(1_001)).cookies.len(), 4);
+}
+
+/// Guards against a peer that applies only a part of the changes that it asked for.
+#[test]
+fn changes_bring_another_directory_to_the_same_view() {
+    let mut first = directory(&[record(1, "a"), record(2, "a")]);
+    let mut second = directory(&[record(1, "a"), record(2, "a")]);
+    first.insert(ms(1), stamp(4), record(3, "b"));
+    first.remove(ms(2), stamp(6), 1);
+    second.apply(ms(3), 6, first.changes(1));
+    let ids = |directory: &skylarkflow_steering::directory::Directory| {
+        let mut ids: Vec<u64> = directory.registered().map(|record| record.id).collect();
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!(ids(&second), [2, 3]);
+    assert_eq!(ids(&first), ids(&second));
+}
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -28,26 +28,53 @@
 
 #[derive(Debug, Display)]
 pub(crate) enum Code {
-    #[display("the object has another version")]
-    Version,
-    #[display("no usable answer from the platform: {_0}")]
+    #[display("no usable answer from the platform: {}", cause(_0))]
     Transport(reqwest::Error),
-    #[display("the platform refused the call with status {_0}")]
+    #[display("{}", refusal(*_0))]
     Status(u16),
+    #[display("the platform's answer cannot be read: {_0}")]
+    Body(serde_json::Error),
 }
 
 impl Error {
+    /// Returns the status of an answer that is no success.
+    pub fn status(&self) -> Option<u16> {
+        match self.code {
+            Code::Status(status) => Some(status),
+            Code::Transport(_) | Code::Body(_) => None,
+        }
+    }
+
     /// Returns what can be done about the error.
     pub fn category(&self) -> Category {
         match self.code {
-            Code::Version => Category::Conflict,
-            Code::Transport(_) => Category::Unknown,
+            Code::Status(PRECONDITION_FAILED) => Category::Conflict,
+            Code::Transport(_) | Code::Body(_) => Category::Unknown,
             Code::Status(status) if is_transient(status) => Category::Unknown,
             Code::Status(_) => Category::Refused,
         }
     }
 }
 
+/// Status of a conditional write that found another version.
+const PRECONDITION_FAILED: u16 = 412;
+
+/// Returns the innermost cause, such as a refused connection; the outer ones only name the URL.
+fn cause(error: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
+
+fn refusal(status: u16) -> String {
+    match status {
+        PRECONDITION_FAILED => "the object has another version".to_owned(),
+        status => format!("the platform refused the call with status {status}"),
+    }
+}
+
 /// Statuses of a platform that is down or overloaded; a gateway may send them after the write has taken effect.
 fn is_transient(status: u16) -> bool {
     status >= 500 || [408, 429].contains(&status)
@@ -64,3 +91,9 @@
         Code::Transport(error).into()
     }
 }
+
+impl From<serde_json::Error> for Error {
+    fn from(error: serde_json::Error) -> Error {
+        Code::Body(error).into()
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,6 @@
-//! Client of the platform's object store and VM list, and the two tables that operators edit.
+//! Client of the object store and the VM list of the product's own platform, and the two tables that operators edit.
+//!
+//! `platform/` is the adapter to the users' platform, which has other names and formats; both use [`http`].
 //!
 //! [`wire`] holds the JSON types of the store's HTTP API and of the configuration objects, [`store`] the client.
 //! [`table`] reads the tables, [`check`](mod@check) reports everything that is wrong with them as [`finding`]s,
@@ -10,6 +12,7 @@
 pub mod difference;
 pub mod error;
 pub mod finding;
+pub mod http;
 mod node;
 pub mod object;
 pub mod plan;
--- a/crates/platform/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::{
-        error::{Code, Result},
+        error::Result,
+        http::Http,
         wire::{Listing, Machines, Object, Written},
     },
-    reqwest::{Client, Response, StatusCode, header::IF_MATCH},
+    reqwest::{Method, StatusCode, header::IF_MATCH},
+    serde::de::DeserializeOwned,
     skylarkflow_policy::vm,
     std::time::Duration,
 };
@@ -16,17 +18,18 @@
 /// A client of the platform's object store and VM list.
 #[derive(Clone, Debug)]
 pub struct Store {
-    client: Client,
-    base: String,
+    http: Http,
 }
 
 impl Store {
     /// Creates a client for the platform at `base`, such as `http://10.0.0.5:8080`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the HTTP client cannot be set up, which without TLS only a broken build can cause.
     pub fn new(base: &str) -> Store {
-        let base = base.trim_end_matches('/').to_owned();
         Store {
-            client: Client::new(),
-            base,
+            http: Http::new(base, CALL_TIMEOUT).expect("a client without TLS can be set up"),
         }
     }
 
@@ -36,9 +39,8 @@
     ///
     /// Fails if the platform does not answer within 2 s.
     pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        let url = format!("{}/v1/objects?prefix={prefix}", self.base);
-        let request = self.client.get(url).timeout(CALL_TIMEOUT);
-        Ok(checked(request.send().await?)?.json().await?)
+        self.fetch(&format!("/v1/objects?prefix={prefix}"), Duration::ZERO)
+            .await
     }
 
     /// Waits until an object under `prefix` changes after `revision`, at most for `wait`.
@@ -48,12 +50,8 @@
     /// Fails if the platform does not answer within `wait` and 2 s.
     pub async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Listing> {
         let seconds = wait.as_secs();
-        let url = format!(
-            "{}/v1/watch?prefix={prefix}&after={revision}&wait={seconds}",
-            self.base
-        );
-        let request = self.client.get(url).timeout(wait + CALL_TIMEOUT);
-        Ok(checked(request.send().await?)?.json().await?)
+        let path = format!("/v1/watch?prefix={prefix}&after={revision}&wait={seconds}");
+        self.fetch(&path, wait).await
     }
 
     /// Writes an object if its version is still `version`; 0 means that it must not exist.
@@ -63,13 +61,17 @@
     /// Fails with [`Category::Conflict`](crate::error::Category) if the version differs. After
     /// [`Category::Unknown`](crate::error::Category) the write may have taken effect.
     pub async fn put(&self, key: &str, value: &serde_json::Value, version: u64) -> Result<Written> {
-        let url = format!("{}/v1/objects/{key}", self.base);
         let request = self
-            .client
-            .put(url)
-            .header(IF_MATCH, format!("\"{version}\""));
-        let response = request.json(value).timeout(CALL_TIMEOUT).send().await?;
-        Ok(checked(response)?.json().await?)
+            .http
+            .request(Method::PUT, &format!("/v1/objects/{key}"))
+            .header(IF_MATCH, format!("\"{version}\""))
+            .json(value);
+        Ok(self
+            .http
+            .send(request, Duration::ZERO)
+            .await?
+            .json()
+            .await?)
     }
 
     /// Reads one object; `None` if it does not exist.
@@ -78,12 +80,14 @@
     ///
     /// Fails if the platform does not answer within 2 s.
     pub async fn get(&self, key: &str) -> Result<Option<Object>> {
-        let url = format!("{}/v1/objects/{key}", self.base);
-        let response = self.client.get(url).timeout(CALL_TIMEOUT).send().await?;
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
+        match self
+            .fetch(&format!("/v1/objects/{key}"), Duration::ZERO)
+            .await
+        {
+            Ok(object) => Ok(Some(object)),
+            Err(error) if error.status() == Some(StatusCode::NOT_FOUND.as_u16()) => Ok(None),
+            Err(error) => Err(error),
         }
-        Ok(Some(checked(response)?.json().await?))
     }
 
     /// Reads the VM list.
@@ -92,17 +96,12 @@
     ///
     /// Fails if the platform does not answer within 2 s.
     pub async fn vms(&self) -> Result<Vec<vm::Record>> {
-        let url = format!("{}/v1/vms", self.base);
-        let response = self.client.get(url).timeout(CALL_TIMEOUT).send().await?;
-        let machines: Machines = checked(response)?.json().await?;
+        let machines: Machines = self.fetch("/v1/vms", Duration::ZERO).await?;
         Ok(machines.vms)
     }
-}
 
-fn checked(response: Response) -> Result<Response> {
-    match response.status() {
-        status if status.is_success() => Ok(response),
-        StatusCode::PRECONDITION_FAILED => Err(Code::Version.into()),
-        status => Err(Code::Status(status.as_u16()).into()),
+    async fn fetch<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T> {
+        let request = self.http.request(Method::GET, path);
+        Ok(self.http.send(request, wait).await?.json().await?)
     }
 }
--- a/crates/platform/tests/apply.rs
+++ b/crates/store/tests/apply.rs
@@ -4,7 +4,7 @@
     assert_matches::assert_matches,
     serde_json::{Value, json},
     skylarkflow_emulator::{fault::Faults, platform::Platform},
-    skylarkflow_platform::{
+    skylarkflow_store::{
         apply::{Outcome, Writer},
         check::{self, Tables},
         plan::{self, Generations, Plan, Settings},
--- a/crates/platform/tests/check.rs
+++ b/crates/store/tests/check.rs
@@ -1,7 +1,7 @@
 //! The check of the tables against a list of bad inputs and the exact report of each.
 
 use {
-    skylarkflow_platform::{
+    skylarkflow_store::{
         check::{self, Tables},
         finding::Finding,
         table::{Pools, Routes},
--- a/crates/platform/tests/robust.rs
+++ b/crates/store/tests/robust.rs
@@ -6,7 +6,7 @@
         prelude::{ProptestConfig, any},
         test_runner::{RngAlgorithm, TestRng, TestRunner},
     },
-    skylarkflow_platform::{
+    skylarkflow_store::{
         check,
         table::{Pools, Routes},
     },
