Add a fault soak of real steering processes and stand-ins of the users' platform

Cause: the steering path was only played by the bench; its promises had no test with real processes.

Change: platform/emulator has the store, upstreams and callers; 'skylarkflow soak' starts balancers, injects seeded faults by signals and through the store, and checks flows, resets, drains, versions, readiness and ends.

--- a/crates/skylarkflow/src/command.rs
+++ b/crates/skylarkflow/src/command.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         apply::Apply, bench::Bench, check::Check, demo::Demo, drain::Drain, emulate, run::Run,
-        status::Status, steer::Steer,
+        soak::Soak, status::Status, steer::Steer,
     },
     argh::FromArgs,
     derive_more::Display,
@@ -47,6 +47,7 @@
     Drain(Drain),
     Emulate(emulate::Emulate),
     Run(Run),
+    Soak(Soak),
     Status(Status),
     Steer(Steer),
 }
@@ -90,6 +91,7 @@
             Command::Drain(drain) => drain.run(),
             Command::Emulate(emulate) => emulate.run(),
             Command::Run(run) => run.run(),
+            Command::Soak(soak) => soak.run(),
             Command::Status(status) => status.run(),
             Command::Steer(steer) => steer.run(),
         }
--- /dev/null
+++ b/crates/skylarkflow/src/soak.rs
@@ -0,0 +1,148 @@
+//! The `soak` command: real balancers under seeded random faults, with checks of what callers and upstreams see.
+
+use {
+    crate::{
+        command::{Failure, Result},
+        soak_callers, soak_faults,
+        soak_site::Site,
+    },
+    argh::FromArgs,
+    std::{
+        io,
+        path::PathBuf,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{runtime::Runtime, time},
+};
+
+/// Time after the last fault in which service has to be back; the platform's bound after all machines lost power.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Run steering balancers as processes on loopback, inject faults and check the promises.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Soak {
+    /// seed of the faults
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds of faults
+    #[argh(option, long = "for", default = "20")]
+    seconds: u64,
+    /// number of balancers, over three availability zones
+    #[argh(option, default = "6")]
+    balancers: usize,
+    /// number of upstreams
+    #[argh(option, default = "6")]
+    upstreams: usize,
+    /// number of callers
+    #[argh(option, default = "8")]
+    callers: usize,
+    /// folder for settings and logs, which stay there after a failure
+    #[argh(option)]
+    folder: Option<PathBuf>,
+    /// program to run as a balancer instead of this one
+    #[argh(option)]
+    program: Option<PathBuf>,
+}
+
+/// What the checks have found.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// Promises that were broken, with the place.
+    pub broken: Vec<String>,
+    /// Requests that were answered.
+    pub answered: u64,
+    /// Requests and openings that were not.
+    pub failed: u64,
+}
+
+/// Verdict that all tasks share.
+pub type Shared = Arc<Mutex<Verdict>>;
+
+/// Records a broken promise.
+pub fn report(verdict: &Shared, text: String) {
+    eprintln!("broken: {text}");
+    let mut verdict = verdict.lock().unwrap_or_else(PoisonError::into_inner);
+    verdict.broken.push(text);
+}
+
+impl Soak {
+    /// Runs the soak.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or a promise was broken.
+    pub fn run(self) -> Result {
+        let runtime = Runtime::new()?;
+        let verdict = runtime.block_on(self.play())?;
+        let verdict = verdict.lock().unwrap_or_else(PoisonError::into_inner);
+        println!(
+            "seed {}: {} requests answered, {} tries failed, {} promises broken",
+            self.seed,
+            verdict.answered,
+            verdict.failed,
+            verdict.broken.len()
+        );
+        if verdict.broken.is_empty() {
+            Ok(())
+        } else {
+            Err(Failure::failed("a promise was broken"))
+        }
+    }
+
+    async fn play(&self) -> io::Result<Shared> {
+        let folder = match &self.folder {
+            Some(folder) => folder.clone(),
+            None => std::env::temp_dir().join(format!("skylarkflow-soak-{}", self.seed)),
+        };
+        let program = match &self.program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe()?,
+        };
+        let verdict = Shared::default();
+        let mut site = Site::start(program, folder, self.balancers, self.upstreams).await?;
+        site.wait_ready(RECOVERY).await?;
+        let directory = site.directory();
+        let callers: Vec<_> = (0..self.callers)
+            .map(|index| {
+                let seed = self.seed.wrapping_mul(1_000) + index as u64;
+                let directory = Arc::clone(&directory);
+                tokio::spawn(soak_callers::call(
+                    index,
+                    seed,
+                    directory,
+                    Arc::clone(&verdict),
+                ))
+            })
+            .collect();
+        let span = Duration::from_secs(self.seconds);
+        soak_faults::inject(&mut site, self.seed, span, &verdict).await?;
+        site.heal();
+        if site.wait_ready(RECOVERY).await.is_err() {
+            report(
+                &verdict,
+                format!("not ready {RECOVERY:?} after the last fault"),
+            );
+        }
+        // Flows that a fault has met have ended by now.
+        time::sleep(Duration::from_secs(2)).await;
+        let before = failures(&verdict);
+        time::sleep(Duration::from_secs(3)).await;
+        if failures(&verdict) > before {
+            report(&verdict, "tries fail without a fault".to_owned());
+        }
+        for caller in callers {
+            caller.abort();
+        }
+        site.stop(&verdict).await?;
+        Ok(verdict)
+    }
+}
+
+fn failures(verdict: &Shared) -> u64 {
+    verdict
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .failed
+}
--- /dev/null
+++ b/crates/skylarkflow/src/soak_site.rs
@@ -0,0 +1,401 @@
+//! Balancers as processes, with the stand-ins around them, for the soak.
+
+use {
+    crate::soak::{self, Shared},
+    reqwest::Client,
+    rustix::process::{Pid, Signal, kill_process},
+    skylarkflow_adapter::READINESS_PATH,
+    skylarkflow_adapter_emulator::{
+        objects::Entry,
+        store::{Fault, Store},
+        upstream::Upstream,
+    },
+    std::{
+        collections::BTreeMap,
+        fs::{self, File},
+        io,
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+        path::{Path, PathBuf},
+        process::{Child, Command},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Address of the service that all callers use.
+pub const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Address of a service that comes and goes with versions of the configuration.
+pub const CHANGING: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+
+/// Time between the signal to stop and the kill.
+const GRACE: Duration = Duration::from_secs(6);
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const POOL: &str = "pool";
+
+/// What callers need to know of the site.
+#[derive(Debug)]
+pub struct Directory {
+    /// Port on which callers take packets.
+    pub port: u16,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    balancers: Vec<SocketAddr>,
+    /// Time of the last harm to each upstream that exists or existed.
+    harmed: BTreeMap<u64, Instant>,
+    /// Time at which an upstream began to drain.
+    drained: BTreeMap<u64, Instant>,
+    /// Time of the last fault of balancers or store.
+    disturbed: Option<Instant>,
+}
+
+/// A balancer process.
+#[derive(Debug)]
+struct Process {
+    child: Child,
+    is_paused: bool,
+}
+
+/// The whole site.
+#[derive(Debug)]
+pub struct Site {
+    program: PathBuf,
+    folder: PathBuf,
+    /// The store.
+    pub store: Store,
+    processes: Vec<Option<Process>>,
+    upstreams: BTreeMap<u64, Upstream>,
+    next_upstream: u64,
+    version: u64,
+    directory: Arc<Directory>,
+    client: Client,
+}
+
+impl Directory {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the addresses of the balancers.
+    pub fn balancers(&self) -> Vec<SocketAddr> {
+        self.state().balancers.clone()
+    }
+
+    /// Returns whether an upstream was harmed after `since`.
+    pub fn was_harmed(&self, id: u64, since: Instant) -> bool {
+        self.state().harmed.get(&id).is_some_and(|&at| at >= since)
+    }
+
+    /// Returns the time since which an upstream drains.
+    pub fn drained(&self, id: u64) -> Option<Instant> {
+        self.state().drained.get(&id).copied()
+    }
+
+    /// Returns whether balancers or the store were disturbed within `span`.
+    pub fn is_disturbed(&self, span: Duration) -> bool {
+        self.state().disturbed.is_some_and(|at| at.elapsed() < span)
+    }
+}
+
+impl Site {
+    /// Starts everything.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or a process cannot be started.
+    pub async fn start(
+        program: PathBuf,
+        folder: PathBuf,
+        balancers: usize,
+        upstreams: usize,
+    ) -> io::Result<Site> {
+        fs::create_dir_all(&folder)?;
+        let port = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?
+            .local_addr()?
+            .port();
+        let addresses = (0..balancers).map(|index| SocketAddr::new(ip(20, index).into(), port));
+        let state = State {
+            balancers: addresses.collect(),
+            ..State::default()
+        };
+        let directory = Arc::new(Directory {
+            port,
+            state: Mutex::new(state),
+        });
+        let mut site = Site {
+            program,
+            folder,
+            store: Store::start().await?,
+            processes: (0..balancers).map(|_| None).collect(),
+            upstreams: BTreeMap::new(),
+            next_upstream: 1,
+            version: 0,
+            directory,
+            client: Client::new(),
+        };
+        for _ in 0..upstreams {
+            site.add_upstream().await?;
+        }
+        site.configure();
+        for index in 0..balancers {
+            site.start_balancer(index)?;
+        }
+        Ok(site)
+    }
+
+    /// Returns what callers need to know.
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory)
+    }
+
+    /// Returns the number of balancers.
+    pub fn balancers(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Returns the identifiers of the upstreams that run.
+    pub fn upstreams(&self) -> Vec<u64> {
+        self.upstreams.keys().copied().collect()
+    }
+
+    /// Notes a fault of balancers or the store.
+    pub fn disturb(&self) {
+        self.directory.state().disturbed = Some(Instant::now());
+    }
+
+    /// Writes the next version of the configuration; every second one has a second route.
+    pub fn configure(&mut self) {
+        self.version += 1;
+        let routes = [(SERVICE, POOL), (CHANGING, POOL)];
+        let count = 1 + (self.version % 2) as usize;
+        self.store.configure(self.version, &routes[..count]);
+    }
+
+    /// Returns whether the version in the store has the second route.
+    pub fn has_changing(&self) -> bool {
+        self.version % 2 == 1
+    }
+
+    /// Starts an upstream and registers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address can be bound.
+    pub async fn add_upstream(&mut self) -> io::Result<()> {
+        let id = self.next_upstream;
+        self.next_upstream += 1;
+        let address = SocketAddr::new(ip(40, id as usize).into(), 0);
+        let upstream = Upstream::start(id, address, self.directory.port).await?;
+        self.store.register(id, &entry(id, upstream.address, false));
+        self.upstreams.insert(id, upstream);
+        Ok(())
+    }
+
+    /// Lets an upstream drain.
+    pub fn drain_upstream(&mut self, id: u64) {
+        if let Some(upstream) = self.upstreams.get(&id) {
+            let now = Instant::now();
+            self.directory.state().drained.entry(id).or_insert(now);
+            self.store.register(id, &entry(id, upstream.address, true));
+        }
+    }
+
+    /// Ends an upstream at once; its entry goes with it if `is_known`.
+    pub fn kill_upstream(&mut self, id: u64, is_known: bool) {
+        self.directory.state().harmed.insert(id, Instant::now());
+        self.upstreams.remove(&id);
+        if is_known {
+            self.store.unregister(id);
+        }
+    }
+
+    /// Starts a balancer unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn start_balancer(&mut self, index: usize) -> io::Result<()> {
+        if self.processes[index].is_some() {
+            return Ok(());
+        }
+        let settings = self.folder.join(format!("balancer-{index}.yaml"));
+        fs::write(&settings, self.settings(index))?;
+        let log = self.folder.join(format!("balancer-{index}.log"));
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(&self.program)
+            .args(["steer", "--settings"])
+            .arg(Path::new(&settings))
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.processes[index] = Some(Process {
+            child,
+            is_paused: false,
+        });
+        Ok(())
+    }
+
+    fn settings(&self, index: usize) -> String {
+        let (ip, port) = (ip(20, index), self.directory.port);
+        let zone = ZONES[index % ZONES.len()];
+        format!(
+            "name: balancer-{index}\nzone: {zone}\ndatagrams: {ip}:{port}\nhttp: {ip}:{http}\nstore: {store}\npeers:\n  \
+             first_port: {peer}\n  last_port: {peer}\nbounds:\n  flow_seconds: 60\n  grace_seconds: {grace}\nlog:\n  \
+             output: stdout\n",
+            http = port,
+            store = self.store.address,
+            peer = port.wrapping_add(1).max(1_024),
+            grace = GRACE.as_secs(),
+        )
+    }
+
+    /// Sends a signal to a balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses it.
+    pub fn signal(&mut self, index: usize, signal: Signal) -> io::Result<()> {
+        let Some(process) = &mut self.processes[index] else {
+            return Ok(());
+        };
+        let pid = Pid::from_raw(process.child.id().cast_signed());
+        if let Some(pid) = pid {
+            kill_process(pid, signal)?;
+        }
+        process.is_paused = match signal {
+            Signal::STOP => true,
+            Signal::CONT => false,
+            _ => process.is_paused,
+        };
+        Ok(())
+    }
+
+    /// Kills a balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses it.
+    pub fn kill_balancer(&mut self, index: usize) -> io::Result<()> {
+        if let Some(mut process) = self.processes[index].take() {
+            process.child.kill()?;
+            process.child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Stops a balancer with grace and reports one that does not end in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a signal.
+    pub async fn stop_balancer(&mut self, index: usize, verdict: &Shared) -> io::Result<()> {
+        self.signal(index, Signal::CONT)?;
+        self.signal(index, Signal::TERM)?;
+        let Some(mut process) = self.processes[index].take() else {
+            return Ok(());
+        };
+        let start = Instant::now();
+        while start.elapsed() < GRACE {
+            if process.child.try_wait()?.is_some() {
+                return Ok(());
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        soak::report(
+            verdict,
+            format!("balancer {index} did not end in {GRACE:?}"),
+        );
+        process.child.kill()?;
+        process.child.wait()?;
+        Ok(())
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.store.set_fault(Fault::None);
+        for index in 0..self.processes.len() {
+            // A process that has ended is started anew.
+            let _ = self.signal(index, Signal::CONT);
+            let _ = self.start_balancer(index);
+        }
+        self.disturb();
+    }
+
+    /// Waits until every balancer that runs is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one is not within the limit.
+    pub async fn wait_ready(&self, limit: Duration) -> io::Result<()> {
+        let start = Instant::now();
+        for index in 0..self.processes.len() {
+            let url = format!(
+                "http://{}:{}{READINESS_PATH}",
+                ip(20, index),
+                self.directory.port
+            );
+            loop {
+                let answer = self.client.get(&url).timeout(Duration::from_secs(1)).send();
+                if answer
+                    .await
+                    .is_ok_and(|answer| answer.status().is_success())
+                {
+                    break;
+                }
+                if start.elapsed() > limit {
+                    return Err(io::Error::other(format!("balancer {index} is not ready")));
+                }
+                time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops every process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses a signal.
+    pub async fn stop(&mut self, verdict: &Shared) -> io::Result<()> {
+        for index in 0..self.processes.len() {
+            self.stop_balancer(index, verdict).await?;
+        }
+        for (id, upstream) in &self.upstreams {
+            let seen = upstream.seen.lock().unwrap_or_else(PoisonError::into_inner);
+            if seen.strays > 0 {
+                let text = format!("{} datagrams at {id} were for another", seen.strays);
+                soak::report(verdict, text);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for process in self.processes.iter_mut().flatten() {
+            // The process may have ended by itself.
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+}
+
+fn entry(id: u64, address: SocketAddr, is_draining: bool) -> Entry {
+    Entry {
+        pool: POOL.to_owned(),
+        address,
+        zone: ZONES[id as usize % ZONES.len()].to_owned(),
+        is_draining,
+    }
+}
+
+/// Returns a loopback address of its own for each process.
+pub fn ip(net: u8, index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, net, (index >> 8) as u8, (index & 0xff) as u8 + 1)
+}
