--- a/crates/skylarkflow/src/journal.rs
+++ b/crates/skylarkflow/src/journal.rs
@@ -21,6 +21,8 @@
 struct Window {
     /// Second after the start of the process in which the last line was written, plus one.
     second: AtomicU64,
+    /// Lines of that second.
+    written: AtomicU64,
     suppressed: AtomicU64,
 }
 
@@ -58,11 +60,20 @@
 
     /// Writes a line unless one of this kind was written within the same second; the next line counts those left out.
     pub fn record_limited(&self, now: Duration, event: &Event, text: Arguments<'_>) {
+        self.record_sampled(now, event, 1, text);
+    }
+
+    /// Writes a line unless `limit` of this kind were written within the same second; the next line counts those left
+    /// out.
+    pub fn record_sampled(&self, now: Duration, event: &Event, limit: u64, text: Arguments<'_>) {
         let Some(window) = self.windows.get(&event.number) else {
             return self.record(event, text);
         };
         let second = now.as_secs() + 1;
-        if window.second.swap(second, Ordering::Relaxed) == second {
+        if window.second.swap(second, Ordering::Relaxed) != second {
+            window.written.store(0, Ordering::Relaxed);
+        }
+        if window.written.fetch_add(1, Ordering::Relaxed) >= limit {
             window.suppressed.fetch_add(1, Ordering::Relaxed);
             return;
         }
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -33,6 +33,9 @@
 /// Time between two sweeps of old flows.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Lines of each kind of decision that are written in one second; a balancer of a calm deployment makes a tenth of them.
+const LINES: u64 = 50;
+
 /// Path of a probe of an upstream whose pool is not in the configuration any more; any answer will do.
 const DEFAULT_HEALTH_PATH: &str = "/";
 
@@ -190,9 +193,10 @@
         self.state.metrics.count(Counter::Resets);
         let (caller, service) = (segment.flow.caller, segment.flow.service);
         let version = self.version();
-        self.state.journal.record_limited(
+        self.state.journal.record_sampled(
             now,
             &event::FLOW_RESET,
+            LINES,
             format_args!("{caller} to {service}: {refusal:?} in version {version}"),
         );
     }
@@ -217,9 +221,10 @@
             copy,
         } = placement;
         let load = upstream.meter.total();
-        self.state.journal.record_limited(
+        self.state.journal.record_sampled(
             now,
             &event::FLOW_PLACED,
+            LINES,
             format_args!(
                 "{caller} to {service}: upstream {:x} in {}, copy {copy}, score {score:.2}, {} flows, {} requests, \
                  version {version}",
@@ -235,9 +240,10 @@
         };
         self.state.metrics.count(counter);
         let (caller, service) = (segment.flow.caller, segment.flow.service);
-        self.state.journal.record_limited(
+        self.state.journal.record_sampled(
             now,
             &event::PACKET_DROPPED,
+            LINES,
             format_args!(
                 "{caller} to {service}: {cause:?}, cookie {:08x}",
                 segment.cookie
@@ -249,7 +255,7 @@
         for action in self.balancer.take_actions() {
             match action {
                 Action::Probe(upstream) => self.probe(now, &upstream),
-                Action::Reset { key, acknowledged } => self.end(key, acknowledged),
+                Action::Reset { key, acknowledged } => self.end(now, key, acknowledged),
                 Action::Severed { id, outcome, flows } => self.severed(id, outcome, flows),
                 Action::Restored(id) => self
                     .state
@@ -282,7 +288,7 @@
         let _ = self.channels.probes.send(probe);
     }
 
-    fn end(&self, key: Key, acknowledged: u32) {
+    fn end(&self, now: Duration, key: Key, acknowledged: u32) {
         let segment = Segment {
             flow: key,
             kind: Kind::Reset,
@@ -291,9 +297,7 @@
             acknowledged,
             length: 0,
         };
-        let to = SocketAddr::new(key.caller.ip(), self.reset_port);
-        self.send(&layout::reset(&segment), to);
-        self.state.metrics.count(Counter::Resets);
+        self.reset(now, &segment, Refusal::UpstreamEnded);
     }
 
     fn tick(&mut self, now: Duration) {
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -20,6 +20,8 @@
     pub zone_margin: f64,
     /// Share of its slots that an upstream offers while it warms up; it works 1.6 times slower then.
     pub cold_share: f64,
+    /// Most upstreams that are compared; of a larger pool as many are drawn, so that the cost does not grow with it.
+    pub candidates: usize,
 }
 
 impl Default for Settings {
@@ -28,6 +30,7 @@
             flow_weight: 0.1,
             zone_margin: 0.75,
             cold_share: 0.6,
+            candidates: 128,
         }
     }
 }
@@ -76,26 +79,54 @@
     is_usable: &impl Fn(&Upstream) -> bool,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    let mut best: Option<(f64, f64, &Arc<Upstream>)> = None;
-    let mut ties = 0;
-    for upstream in upstreams.iter().filter(|upstream| is_usable(upstream)) {
+    let mut best = Best::default();
+    if upstreams.len() <= settings.candidates {
+        for upstream in upstreams.iter().filter(|upstream| is_usable(upstream)) {
+            best.offer(settings, now, zone, upstream, rng);
+        }
+    } else {
+        for _ in 0..settings.candidates {
+            let upstream = &upstreams[rng.random_range(0..upstreams.len())];
+            if is_usable(upstream) {
+                best.offer(settings, now, zone, upstream, rng);
+            }
+        }
+    }
+    best.lowest.map(|(_, score, upstream)| Choice {
+        upstream: Arc::clone(upstream),
+        score,
+    })
+}
+
+/// The best candidate so far, with its cost and its score; each of several equal ones is as likely.
+#[derive(Default)]
+struct Best<'a> {
+    lowest: Option<(f64, f64, &'a Arc<Upstream>)>,
+    ties: u32,
+}
+
+impl<'a> Best<'a> {
+    fn offer(
+        &mut self,
+        settings: &Settings,
+        now: Duration,
+        zone: &str,
+        upstream: &'a Arc<Upstream>,
+        rng: &mut SmallRng,
+    ) {
         let score = score(settings, now, upstream);
         let is_remote = upstream.record.zone != zone;
         let cost = score + if is_remote { settings.zone_margin } else { 0.0 };
-        match best {
-            Some((lowest, ..)) if cost > lowest => continue,
+        match self.lowest {
+            Some((lowest, ..)) if cost > lowest => return,
             Some((lowest, ..)) if cost == lowest => {
-                ties += 1;
-                if rng.random_range(0..=ties) > 0 {
-                    continue;
+                self.ties += 1;
+                if rng.random_range(0..=self.ties) > 0 {
+                    return;
                 }
             }
-            _ => ties = 0,
+            _ => self.ties = 0,
         }
-        best = Some((cost, score, upstream));
+        self.lowest = Some((cost, score, upstream));
     }
-    best.map(|(_, score, upstream)| Choice {
-        upstream: Arc::clone(upstream),
-        score,
-    })
 }
