Reset only flows that were seen open

A balancer that woke from a freeze read old opening packets, placed them, and reset these flows when its choice ended, while copies had opened them elsewhere; planned work was going on, so the resets counted.

Change: flows that this balancer has not seen open are not reset. The soak tells which tries failed last.

--- a/crates/skylarkflow/src/soak.rs
+++ b/crates/skylarkflow/src/soak.rs
@@ -8,6 +8,7 @@
     },
     argh::FromArgs,
     std::{
+        collections::VecDeque,
         io,
         path::PathBuf,
         sync::{Arc, Mutex, PoisonError},
@@ -55,6 +56,22 @@
     pub answered: u64,
     /// Requests and openings that were not.
     pub failed: u64,
+    /// The last of them, for a verdict that depends on them.
+    pub failures: VecDeque<String>,
+}
+
+/// Failures that are remembered.
+const FAILURES: usize = 20;
+
+impl Verdict {
+    /// Records a request or an opening that was not answered.
+    pub fn fail(&mut self, text: String) {
+        self.failed += 1;
+        if self.failures.len() == FAILURES {
+            self.failures.pop_front();
+        }
+        self.failures.push_back(text);
+    }
 }
 
 /// Verdict that all tasks share.
@@ -130,7 +147,15 @@
         let before = failures(&verdict);
         time::sleep(Duration::from_secs(3)).await;
         if failures(&verdict) > before {
-            report(&verdict, "tries fail without a fault".to_owned());
+            let failures = &verdict
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .failures
+                .clone();
+            report(
+                &verdict,
+                format!("tries fail without a fault: {failures:#?}"),
+            );
         }
         for caller in callers {
             caller.abort();
--- a/crates/skylarkflow/src/soak_callers.rs
+++ b/crates/skylarkflow/src/soak_callers.rs
@@ -37,7 +37,10 @@
         };
         match opened {
             Ok(flow) => converse(&caller, flow, started, &directory, &verdict, &mut rng).await,
-            Err(_) => count(&verdict, false),
+            Err(outcome) => fail(
+                &verdict,
+                format!("{address} port {port}: opening {outcome:?}"),
+            ),
         }
     }
 }
@@ -58,7 +61,10 @@
             let pick = || pick(directory, rng);
             caller.request(&mut flow, text.as_bytes(), pick).await
         };
-        count(verdict, matches!(outcome, Outcome::Answered(_)));
+        match outcome {
+            Outcome::Answered(_) => answered(verdict),
+            _ => fail(verdict, format!("{flow:?} of {upstream:?}: {outcome:?}")),
+        }
         match outcome {
             Outcome::Answered(id) => {
                 let first = *upstream.get_or_insert(id);
@@ -99,11 +105,12 @@
     *balancers.choose(rng).expect("a site has balancers")
 }
 
-fn count(verdict: &Shared, is_answered: bool) {
+fn answered(verdict: &Shared) {
     let mut verdict = verdict.lock().unwrap_or_else(PoisonError::into_inner);
-    if is_answered {
-        verdict.answered += 1;
-    } else {
-        verdict.failed += 1;
-    }
+    verdict.answered += 1;
+}
+
+fn fail(verdict: &Shared, text: String) {
+    let mut verdict = verdict.lock().unwrap_or_else(PoisonError::into_inner);
+    verdict.fail(text);
 }
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -186,11 +186,13 @@
     }
 
     /// Forgets the open flows of an upstream and returns each with the position that its caller has acknowledged.
+    ///
+    /// A flow that was not seen open is left out: a copy of its opening packet may have opened it at another upstream.
     pub fn take(&mut self, id: UpstreamId) -> Vec<(Key, u32)> {
         let open = self
             .flows
             .iter()
-            .filter(|(_, flow)| flow.upstream.record.id == id && flow.phase != Phase::Closed);
+            .filter(|(_, flow)| flow.upstream.record.id == id && flow.phase == Phase::Open);
         let open: Vec<(Key, u32)> = open.map(|(key, flow)| (*key, flow.acknowledged)).collect();
         for (key, _) in &open {
             self.remove(key);
