--- a/crates/skylarkflow/src/bench.rs
+++ b/crates/skylarkflow/src/bench.rs
@@ -4,7 +4,7 @@
     crate::{
         bench_control,
         bench_control::Part,
-        bench_datagrams, bench_decisions, bench_steps, bench_tables,
+        bench_datagrams, bench_decisions, bench_steer, bench_steps, bench_tables,
         command::Result,
         figure::{self, Figure},
         measure::Report,
@@ -34,6 +34,7 @@
     Control(Control),
     Datagrams(Datagrams),
     Decisions(Decisions),
+    Steer(Steer),
     Steps(Steps),
     Tables(Tables),
 }
@@ -67,6 +68,11 @@
 #[argh(subcommand, name = "decisions")]
 struct Decisions {}
 
+/// Measure the cost of steering a packet by its cookie, and datagrams a second against a bare relay.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "steer")]
+struct Steer {}
+
 /// Measure the steps that a request takes through a balancer, without sockets.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "steps")]
@@ -90,6 +96,7 @@
             }
             Subject::Datagrams(datagrams) => datagrams.measure()?,
             Subject::Decisions(Decisions {}) => bench_decisions::measure(),
+            Subject::Steer(Steer {}) => bench_steer::measure()?,
             Subject::Steps(Steps {}) => bench_steps::measure(),
             Subject::Tables(Tables {}) => return self.run_series(bench_tables::run),
         };
--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -16,6 +16,7 @@
 mod bench_objects;
 mod bench_relay;
 mod bench_relays;
+mod bench_steer;
 mod bench_steps;
 mod bench_tables;
 mod caller;
--- /dev/null
+++ b/crates/skylarkflow/tests/steer.rs
@@ -0,0 +1,215 @@
+//! The `steer` command against stand-ins: settings, bad datagrams, and the planned stop.
+
+use {
+    skylarkflow_adapter_emulator::{
+        caller::{Caller, Outcome},
+        objects::Entry,
+        store::Store,
+        upstream::Upstream,
+    },
+    std::{
+        fs,
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::{runtime::Runtime, time},
+};
+
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// Generous limit for a condition on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Site {
+    store: Store,
+    upstream: Upstream,
+    balancer: Child,
+    address: SocketAddr,
+    settings: PathBuf,
+    port: u16,
+    _folder: TempDir,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.balancer.kill();
+        let _ = self.balancer.wait();
+    }
+}
+
+fn settings(ip: Ipv4Addr, port: u16, store: SocketAddr) -> String {
+    format!(
+        "name: b\nzone: a\ndatagrams: {ip}:{port}\nhttp: {ip}:{port}\nstore: {store}\npeers: {{first_port: {peer}, \
+         last_port: {peer}}}\nlog: {{output: stdout}}\n",
+        peer = port - 1,
+    )
+}
+
+async fn start(net: u8) -> Site {
+    let folder = tempfile::tempdir().expect("a folder");
+    let ip = Ipv4Addr::new(127, net, 0, 1);
+    let probe = UdpSocket::bind((ip, 0)).expect("a free port");
+    let port = probe.local_addr().expect("an address").port();
+    drop(probe);
+    let store = Store::start().await.expect("a store");
+    let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 2), 0));
+    let upstream = Upstream::start(7, address, port)
+        .await
+        .expect("an upstream");
+    let entry = Entry {
+        pool: "pool".to_owned(),
+        address: upstream.address,
+        zone: "a".to_owned(),
+        is_draining: false,
+    };
+    store.register(7, &entry);
+    store.configure(1, &[(SERVICE, "pool")]);
+    let path = folder.path().join("settings.yaml");
+    fs::write(&path, settings(ip, port, store.address)).expect("settings");
+    let log = fs::File::create(folder.path().join("log")).expect("a log");
+    let balancer = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
+        .args(["steer", "--settings"])
+        .arg(&path)
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("a balancer");
+    Site {
+        store,
+        upstream,
+        balancer,
+        address: SocketAddr::from((ip, port)),
+        settings: path,
+        port,
+        _folder: folder,
+    }
+}
+
+async fn opened(site: &Site, caller: &Caller, port: u16) -> u64 {
+    let start = Instant::now();
+    loop {
+        let mut flow = caller.open(port, SERVICE, || site.address).await;
+        if let Ok(flow) = &mut flow {
+            let outcome = caller.request(flow, b"hello", || site.address).await;
+            if let Outcome::Answered(id) = outcome {
+                return id;
+            }
+        }
+        assert!(start.elapsed() < LIMIT, "no service: {flow:?}");
+    }
+}
+
+async fn caller(site: &Site, net: u8) -> Caller {
+    let address = SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 3), site.port);
+    Caller::new(address).await.expect("a caller")
+}
+
+fn log(site: &Site) -> String {
+    let path = site.settings.parent().unwrap_or(Path::new("")).join("log");
+    fs::read_to_string(path).unwrap_or_default()
+}
+
+async fn logged(site: &Site, event: &str) {
+    let start = Instant::now();
+    while !log(site).contains(event) {
+        assert!(start.elapsed() < LIMIT, "no {event} in {}", log(site));
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a panic or a stop of service after datagrams and objects that make no sense.
+#[test]
+fn garbage_does_no_harm() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start(51).await;
+        let caller = caller(&site, 51).await;
+        assert_eq!(opened(&site, &caller, 2_000).await, 7);
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        for length in [0, 1, 30, 31, 32, 1_300, 9_000] {
+            for byte in [0, 0x10, 0xff] {
+                socket
+                    .send_to(&vec![byte; length], site.address)
+                    .expect("sent");
+            }
+        }
+        for spec in ["null", "[1]", "{\"Zone\": 3}", "\"\u{fffd}\""] {
+            let spec = serde_json::from_str(spec).expect("JSON");
+            site.store.put("servers", "i-zz", spec);
+        }
+        site.store
+            .put("config", "main", serde_json::json!({"Version": "x"}));
+        logged(&site, "E2104").await;
+        logged(&site, "E5105").await;
+        assert_eq!(opened(&site, &caller, 2_001).await, 7);
+    });
+}
+
+/// Guards against settings that only come into force with a restart, and against ones that stop the process.
+#[test]
+fn settings_change_without_a_signal() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start(52).await;
+        let caller = caller(&site, 52).await;
+        assert_eq!(opened(&site, &caller, 2_000).await, 7);
+        fs::write(&site.settings, "name: [").expect("written");
+        logged(&site, "E1106").await;
+        let other = Store::start().await.expect("another store");
+        let ip = Ipv4Addr::new(127, 52, 0, 1);
+        fs::write(&site.settings, settings(ip, site.port, other.address)).expect("written");
+        logged(&site, "E1105").await;
+        let start = Instant::now();
+        while other.calls() == 0 {
+            assert!(start.elapsed() < LIMIT, "the new store is not called");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(opened(&site, &caller, 2_001).await, 7);
+    });
+}
+
+/// Guards against a caller that waits for an upstream that has crashed: its flow is reset before its deadline.
+#[test]
+fn flows_of_a_crashed_upstream_are_reset() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let mut site = start(53).await;
+        let caller = caller(&site, 53).await;
+        let start = Instant::now();
+        let mut flow = loop {
+            if let Ok(flow) = caller.open(2_000, SERVICE, || site.address).await {
+                break flow;
+            }
+            assert!(start.elapsed() < LIMIT, "no service");
+        };
+        let first = caller.request(&mut flow, b"one", || site.address).await;
+        assert_eq!(first, Outcome::Answered(7));
+        let address = SocketAddr::from((Ipv4Addr::new(127, 53, 0, 9), 0));
+        site.upstream = Upstream::start(8, address, site.port)
+            .await
+            .expect("another upstream");
+        let outcome = caller.request(&mut flow, b"two", || site.address).await;
+        assert_eq!(outcome, Outcome::Reset);
+    });
+}
+
+/// Guards against settings that are accepted although nothing could run with them.
+#[test]
+fn every_finding_in_the_settings_is_reported() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.yaml");
+    let text =
+        "name: ''\nzone: ''\npeers: {first_port: 9, last_port: 8}\nbounds: {grace_seconds: 0}\n";
+    fs::write(&path, text).expect("settings");
+    let output = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
+        .args(["steer", "--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the command runs");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{errors}");
+    for field in ["name", "zone", "peers.first_port", "bounds.grace_seconds"] {
+        assert!(errors.contains(field), "{field} in {errors}");
+    }
+}
