--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -82,6 +82,7 @@
     PlatformCalls "platform.calls" "calls" "Calls to the platform; a waiting watch counts as one.";
     PlatformFailed "platform.failed" "calls" "Calls to the platform that failed.";
     Packets "steer.packets" "packets" "Packets of callers that a steering balancer read.";
+    ReceiveFailed "steer.receive_failed" "calls" "Reads of the socket for callers' packets that failed.";
     PacketsMalformed "steer.malformed" "packets" "Datagrams dropped because they are no packet of a caller.";
     PacketsForwarded "steer.forwarded" "packets" "Packets forwarded to upstreams.";
     PacketsUnknown "steer.unknown_cookie" "packets" "Packets dropped because their cookie names no known upstream.";
--- a/crates/skylarkflow/src/settings.rs
+++ b/crates/skylarkflow/src/settings.rs
@@ -6,7 +6,7 @@
 use {
     derive_more::{Display, Error},
     log::LevelFilter,
-    serde::Deserialize,
+    serde::{Deserialize, de::DeserializeOwned},
     std::{
         collections::BTreeMap,
         fmt, fs, io,
@@ -346,6 +346,18 @@
 ///
 /// Fails if the file cannot be read or parsed, or with every finding of [`check`].
 pub fn from_path(path: &Path) -> Result<Settings, Error> {
+    read(path, check)
+}
+
+/// Reads settings of any command and checks them.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or parsed, or with every finding of `check`.
+pub fn read<T: DeserializeOwned>(
+    path: &Path,
+    check: impl FnOnce(&T) -> Vec<Finding>,
+) -> Result<T, Error> {
     let text = fs::read_to_string(path).map_err(|source| Error::Read {
         path: path.to_owned(),
         source,
--- a/crates/skylarkflow/src/steer.rs
+++ b/crates/skylarkflow/src/steer.rs
@@ -47,7 +47,7 @@
             (Some(path), None) => Ok(path.clone()),
             (None, Some(variable)) => env::var_os(variable)
                 .map(PathBuf::from)
-                .ok_or_else(|| Failure::usage(steer_settings::Error::Variable(variable.clone()))),
+                .ok_or_else(|| Failure::arguments(format!("the variable {variable} is not set"))),
             _ => Err(Failure::arguments(
                 "either --settings or --settings-variable is needed",
             )),
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -13,7 +13,7 @@
         object,
     },
     skylarkflow_steering::feed::{Answer, Call, Feed, Use},
-    std::{sync::Arc, time::Duration},
+    std::sync::Arc,
     tokio::{sync::watch, time},
 };
 
@@ -122,6 +122,3 @@
         );
     }
 }
-
-/// Time between two looks for upstreams whose retention has ended.
-pub const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -1,4 +1,4 @@
-//! The thread that forwards packets. It takes no lock that another thread holds for long and allocates nothing.
+//! The thread that forwards packets. It never waits for a lock, and forwarding a packet of a known flow allocates nothing.
 
 use {
     crate::{
@@ -112,7 +112,7 @@
                 Ok((0, _)) => {}
                 Ok((length, _)) => self.packet(now, &mut buffer[..PREFIX_BYTES + length]),
                 Err(error) if is_timeout(&error) => {}
-                Err(_) => self.state.metrics.count(Counter::SendFailed),
+                Err(_) => self.state.metrics.count(Counter::ReceiveFailed),
             }
             if now >= self.next_tick {
                 self.next_tick = now + TICK;
@@ -220,7 +220,7 @@
             score,
             copy,
         } = placement;
-        let load = upstream.meter.total();
+        let load = upstream.meter.load();
         self.state.journal.record_sampled(
             now,
             &event::FLOW_PLACED,
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -1,14 +1,12 @@
 //! Settings of a balancer that steers flows by cookies.
 
 use {
-    crate::settings::{Finding, Log},
-    derive_more::{Display, Error},
+    crate::settings::{self, Error, Finding, Log},
     serde::Deserialize,
     skylarkflow_steering::{directory, feed, lifecycle, peer::Place},
     std::{
-        fs, io,
         net::{Ipv4Addr, SocketAddr},
-        path::{Path, PathBuf},
+        path::Path,
         time::Duration,
     },
 };
@@ -60,35 +58,6 @@
     pub grace_seconds: f64,
 }
 
-/// Settings that cannot be used.
-#[derive(Debug, Display, Error)]
-pub enum Error {
-    /// No file is named.
-    #[display("the variable {_0} does not name a settings file")]
-    #[error(ignore)]
-    Variable(String),
-    /// The file cannot be read.
-    #[display("cannot read the settings {}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: io::Error,
-    },
-    /// The file is not YAML of the expected form.
-    #[display("cannot parse the settings {}: {source}", path.display())]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// The cause, with line and column.
-        source: Box<serde_saphyr::Error>,
-    },
-    /// Values are out of range.
-    #[display("the settings are not usable: {}", list(_0))]
-    #[error(ignore)]
-    Check(Vec<Finding>),
-}
-
 impl Default for Settings {
     fn default() -> Settings {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -163,20 +132,7 @@
 ///
 /// Fails if the file cannot be read or parsed, or with every finding of [`check`].
 pub fn from_path(path: &Path) -> Result<Settings, Error> {
-    let text = fs::read_to_string(path).map_err(|source| Error::Read {
-        path: path.to_owned(),
-        source,
-    })?;
-    let settings = serde_saphyr::from_str(&text).map_err(|source| Error::Parse {
-        path: path.to_owned(),
-        source: Box::new(source),
-    })?;
-    let findings = check(&settings);
-    if findings.is_empty() {
-        Ok(settings)
-    } else {
-        Err(Error::Check(findings))
-    }
+    settings::read(path, check)
 }
 
 /// Returns everything that is wrong with settings.
@@ -209,8 +165,3 @@
     }
     findings
 }
-
-fn list(findings: &[Finding]) -> String {
-    let findings: Vec<String> = findings.iter().map(Finding::to_string).collect();
-    findings.join("; ")
-}
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        steer_control::{self, EXPIRE_INTERVAL},
+        steer_control,
         steer_daemon::Error,
         steer_data::Input,
         steer_http, steer_peers,
@@ -21,7 +21,7 @@
         peer::{self, Circle, Place},
         upstream::UpstreamId,
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
         sync::{
@@ -33,6 +33,9 @@
     },
 };
 
+/// Time between two looks for upstreams whose retention has ended.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What the tasks need of the thread that handles packets.
 pub struct Ends {
     /// Probes to be made.
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -1,8 +1,8 @@
 //! Which upstream takes a new flow.
 //!
 //! The load pattern behind it: upstreams with two or three slots, flows that stay for many requests, and crests of
-//! twice the mean load. A flow goes to the upstream that is least busy for its slots, by the flows and requests that all
-//! balancers report. Another zone is used only where it is clearly less busy, since bytes between zones are paid for and
+//! twice the mean load. A flow goes to the upstream that is least busy for its slots, by the flows and requests that this
+//! balancer has placed. Another zone is used only where it is clearly less busy, since bytes between zones are paid for and
 //! another zone may be out of reach.
 
 use {
@@ -61,7 +61,7 @@
 
 /// Returns the busy share of an upstream after one more request, in requests for each slot.
 pub fn score(settings: &Settings, now: Duration, upstream: &Upstream) -> f64 {
-    let load = upstream.meter.total();
+    let load = upstream.meter.load();
     let warmth = if now < upstream.warm_at {
         settings.cold_share
     } else {
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -202,7 +202,7 @@
 
     /// Returns whether an upstream has open flows.
     pub fn has_flows(&self, upstream: &Upstream) -> bool {
-        upstream.meter.local().flows > 0
+        upstream.meter.load().flows > 0
     }
 
     /// Forgets a flow.
@@ -344,8 +344,8 @@
 }
 
 fn add(upstream: &Upstream, flows: i32, requests: i32) {
-    let load = upstream.meter.local();
-    upstream.meter.set_local(Load {
+    let load = upstream.meter.load();
+    upstream.meter.set_load(Load {
         flows: load.flows.saturating_add_signed(flows),
         requests: load.requests.saturating_add_signed(requests),
     });
--- a/crates/steering/src/upstream.rs
+++ b/crates/steering/src/upstream.rs
@@ -73,50 +73,25 @@
     pub meter: Arc<Meter>,
 }
 
-/// Load of an upstream, written by the thread that handles packets and by the one that hears other balancers.
+/// Load that this balancer has placed on an upstream, written by the thread that handles packets.
 #[derive(Debug, Default)]
 pub struct Meter {
     flows: AtomicU32,
     requests: AtomicU32,
-    remote_flows: AtomicU32,
-    remote_requests: AtomicU32,
 }
 
 impl Meter {
-    /// Returns the load that this balancer has placed.
-    pub fn local(&self) -> Load {
+    /// Returns the load.
+    pub fn load(&self) -> Load {
         Load {
             flows: self.flows.load(Ordering::Relaxed),
             requests: self.requests.load(Ordering::Relaxed),
         }
     }
 
-    /// Sets the load that this balancer has placed.
-    pub fn set_local(&self, load: Load) {
+    /// Sets the load.
+    pub fn set_load(&self, load: Load) {
         self.flows.store(load.flows, Ordering::Relaxed);
         self.requests.store(load.requests, Ordering::Relaxed);
     }
-
-    /// Returns the load that other balancers have reported.
-    pub fn remote(&self) -> Load {
-        Load {
-            flows: self.remote_flows.load(Ordering::Relaxed),
-            requests: self.remote_requests.load(Ordering::Relaxed),
-        }
-    }
-
-    /// Sets the load that other balancers have reported.
-    pub fn set_remote(&self, load: Load) {
-        self.remote_flows.store(load.flows, Ordering::Relaxed);
-        self.remote_requests.store(load.requests, Ordering::Relaxed);
-    }
-
-    /// Returns the load of all balancers.
-    pub fn total(&self) -> Load {
-        let (local, remote) = (self.local(), self.remote());
-        Load {
-            flows: local.flows.saturating_add(remote.flows),
-            requests: local.requests.saturating_add(remote.requests),
-        }
-    }
 }
