--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -89,6 +89,16 @@
         let _ = self.inputs.send(Input::Doubt(id));
         self.waker.wake();
     }
+
+    fn list(&self) {
+        self.help.send_replace(Help::None);
+    }
+
+    fn read(&self, state: &State, is_reader: bool) {
+        self.is_reader.send_replace(is_reader);
+        let text = format_args!("reader: {is_reader}");
+        state.journal.record(&event::READER_CHANGED, text);
+    }
 }
 
 /// Reports to other balancers and takes their reports until the task is dropped.
@@ -142,14 +152,8 @@
                 }
                 Action::Send(to, report) => send(&state, &socket, to, report).await,
                 Action::Doubt(id) => channels.doubt(id),
-                Action::List => {
-                    channels.help.send_replace(Help::None);
-                }
-                Action::Read(is_reader) => {
-                    channels.is_reader.send_replace(is_reader);
-                    let text = format_args!("reader: {is_reader}");
-                    state.journal.record(&event::READER_CHANGED, text);
-                }
+                Action::List => channels.list(),
+                Action::Read(is_reader) => channels.read(&state, is_reader),
             }
         }
         state.metrics.set(Gauge::Peers, circle.len() as u64);
--- a/crates/steering/src/planted.rs
+++ b/crates/steering/src/planted.rs
@@ -3,7 +3,7 @@
 /// A planted fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
-    /// Packets of an open flow go to any upstream of the pool.
+    /// Packets of open flows go to any known upstream.
     Cookie,
     /// Only the first configuration comes into force.
     Configuration,
