Let the watches of readers end after 1.5 s

Ruled out: the stand-in of the store (a new connection was answered).

Change: the watch of a reader waits for 1.5 s, so that with the 1.5 s of a call it ends before the 4 s in which a balancer has to catch up. Others hear of changes by reports, as before, and keep their 30 s.

Tried and dropped: reports to other zones by everybody while a zone has no reader.

--- a/crates/skylarkflow/src/soak.rs
+++ b/crates/skylarkflow/src/soak.rs
@@ -20,6 +20,12 @@
 /// Time after the last fault in which service has to be back; the platform's bound after all machines lost power.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Time in which balancers catch up with the store after a fault; the platform's bound.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+/// Time after which a flow that a fault has met has ended; a try takes 1.4 s at most.
+const FLOW_END: Duration = Duration::from_secs(2);
+
 /// Run steering balancers as processes on loopback, inject faults and check the promises.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "soak")]
@@ -143,8 +149,7 @@
             );
         }
         directory.network.set_faults(0, 0);
-        // Flows that a fault has met have ended by now.
-        time::sleep(Duration::from_secs(2)).await;
+        time::sleep(CATCH_UP + FLOW_END).await;
         let before = failures(&verdict);
         time::sleep(Duration::from_secs(3)).await;
         if failures(&verdict) > before {
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -41,13 +41,15 @@
         if feed.help(clock.now(), *help.borrow_and_update()) {
             collected.clear();
         }
-        let (due, call) = feed.next();
+        let (due, _) = feed.next();
         tokio::select! {
             () = time::sleep(due.saturating_sub(clock.now())) => {}
             Ok(()) = help.changed() => continue,
         }
         state.metrics.count(Counter::StoreCalls);
         let is_current = *is_reader.borrow_and_update();
+        feed.set_reader(is_current);
+        let (_, call) = feed.next();
         let result = tokio::select! {
             result = perform(&store, kind, &call, is_current) => result,
             // The wait for changes goes on with another kind of call.
--- a/crates/steering/src/feed.rs
+++ b/crates/steering/src/feed.rs
@@ -13,6 +13,10 @@
 pub struct Settings {
     /// Time for which a watch waits for a change.
     pub wait: Duration,
+    /// The same for a reader. A connection through a middlebox can go silent although its keep-alive probes are answered;
+    /// only the end of the wait shows it, and the others of the zone rely on the reader. With the time that a call may
+    /// take it is less than the 4 s in which the platform expects a balancer to catch up.
+    pub reader_wait: Duration,
     /// Time between the answer to a watch and the next one, so that one answer carries many changes.
     pub pace: Duration,
     /// Time before the first retry of a failed call; it doubles with each further failure.
@@ -28,6 +32,7 @@
     fn default() -> Settings {
         Settings {
             wait: Duration::from_secs(30),
+            reader_wait: Duration::from_millis(1_500),
             pace: Duration::from_millis(400),
             least_pause: Duration::from_millis(100),
             most_pause: Duration::from_secs(1),
@@ -125,6 +130,7 @@
     listed: Option<Revision>,
     failures: u32,
     help: Help,
+    is_reader: bool,
 }
 
 impl Feed {
@@ -142,9 +148,15 @@
             listed: None,
             failures: 0,
             help: Help::default(),
+            is_reader: false,
         }
     }
 
+    /// Sets whether other balancers rely on this feed.
+    pub fn set_reader(&mut self, is_reader: bool) {
+        self.is_reader = is_reader;
+    }
+
     /// Takes note of what peers do for this balancer; returns whether the pages that were collected are of no more use.
     ///
     /// Only tables that are given before the first list has ended count: those of a later time lack removals of entries
@@ -167,7 +179,13 @@
 
     /// Returns the next call and the time at which it is due.
     pub fn next(&self) -> (Duration, Call) {
-        (self.due, self.next.clone())
+        let mut next = self.next.clone();
+        if let Call::Watch { wait, .. } = &mut next
+            && self.is_reader
+        {
+            *wait = self.settings.reader_wait;
+        }
+        (self.due, next)
     }
 
     /// Returns the revision up to which changes are known.
--- a/crates/steering/tests/feeds.rs
+++ b/crates/steering/tests/feeds.rs
@@ -116,3 +116,19 @@
     let (_, call) = feed.next();
     assert!(matches!(call, Call::Watch { revision: 10, .. }), "{call:?}");
 }
+
+/// Guards against a zone that hears nothing for half a minute: its reader's connection went silent, while a middlebox
+/// still answered the keep-alive probes (soak seeds 202, 204 and 206).
+#[test]
+fn the_watch_of_a_reader_is_short() {
+    let mut feed = feed();
+    feed.answer(Duration::ZERO, page(10, None));
+    let wait = |feed: &Feed| match feed.next().1 {
+        Call::Watch { wait, .. } => wait,
+        call @ Call::List { .. } => panic!("{call:?}"),
+    };
+    assert_eq!(wait(&feed), Settings::default().wait);
+    feed.set_reader(true);
+    // The time of a call, 1.5 s, comes on top; a balancer has 4 s to catch up.
+    assert!(wait(&feed) <= Duration::from_secs(2));
+}
