End the process as a whole when a thread or task panics

Cause: a panic in the thread that handles packets, or in a task that follows the store, ended only that thread; the process stayed ready and dropped every packet or kept its tables. One entry of another writer could cause it: its warm-up may be 2^64 - 2,048 s, which added to the clock of a process that has run for longer overflows a duration. Every balancer reads the same entry.

Change: a panic hook logs the place (E1107) and ends the process with exit code 101, so that the platform starts it again; the end of a warm-up saturates.

The test of the extreme warm-up panicked before and passes after.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -48,6 +48,7 @@
     1104 STEERING_STOPPED Info "process" "A steering balancer has stopped.";
     1105 SETTINGS_RELOADED Info "process" "Changed settings were applied.";
     1106 SETTINGS_REJECTED Warn "process" "Changed settings are invalid and were not applied.";
+    1107 PANICKED Error "process" "A thread or task met an unexpected error; the process ends with exit code 101.";
     2001 FLOW_OPENED Info "flow" "A flow was assigned the default upstream of its pool's table.";
     2002 FLOW_EXCEPTION Info "flow" "A flow was assigned an upstream other than the default.";
     2003 FLOW_REPLACED Info "flow"
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -21,7 +21,9 @@
     std::{
         fs, io,
         net::UdpSocket,
+        panic,
         path::{Path, PathBuf},
+        process,
         sync::Arc,
         thread,
         time::Duration,
@@ -40,6 +42,9 @@
 /// Interval at which a draining balancer checks whether it may exit.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Exit code after a panic, as of a program without a panic hook.
+const PANIC_EXIT_CODE: i32 = 101;
+
 /// Environment variable with the name of the fault to inject into this balancer.
 #[cfg(feature = "planted")]
 const PLANTED_VARIABLE: &str = "SKYLARKFLOW_PLANTED";
@@ -69,6 +74,7 @@
     let metrics = Metrics::new(&settings::Metrics::default())?;
     let phase = Phase::Starting(Starting);
     let state = Arc::new(State::new(event_log, metrics, phase));
+    end_process_on_panic(Arc::clone(&state));
     let socket = UdpSocket::bind(settings.datagrams)?;
     let waker = Arc::new(Waker::new(&socket)?);
     let (probes, probe_receiver) = mpsc::unbounded_channel();
@@ -97,7 +103,7 @@
     };
     let result = runtime.block_on(run_control(&state, settings, &path, forwarder_handle));
     state.stop();
-    // The thread checks the stop flag after each receive timeout. A panic in it has already been printed.
+    // The thread checks the stop flag after each receive timeout. A panic in it has ended the process.
     let _ = thread.join();
     state
         .event_log
@@ -105,6 +111,19 @@
     result
 }
 
+/// Makes a panic in any thread or task end the whole process.
+///
+/// A process without the thread that handles packets, or without a task that follows the store, would still report that
+/// it is ready. The platform starts it again.
+fn end_process_on_panic(state: Arc<State>) {
+    panic::set_hook(Box::new(move |info| {
+        state
+            .event_log
+            .record(&event::PANICKED, format_args!("{info}"));
+        process::exit(PANIC_EXIT_CODE);
+    }));
+}
+
 fn new_balancer(settings: &Settings, state: &State) -> Balancer {
     let settings = balancer::Settings {
         zone: settings.zone.clone(),
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -228,6 +228,9 @@
 
     /// Decides about a packet.
     pub fn handle(&mut self, now: Duration, table: Option<&Table>, segment: &Segment) -> Verdict {
+        if fault_injection::is_injected(Fault::Panic) {
+            panic!("injected fault");
+        }
         let Some(table) = table else {
             if fault_injection::is_injected(Fault::EarlyReset) && segment.cookie != 0 {
                 return Verdict::Reset(ResetReason::NoRoute);
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -164,7 +164,7 @@
             entry.entry_revision = entry_revision;
             return;
         }
-        let warmup_end = now + record.warmup;
+        let warmup_end = now.saturating_add(record.warmup);
         let load_counters = match self.entries.get(&record.id) {
             Some(entry) if entry.record.started_unix_ms == record.started_unix_ms => {
                 Arc::clone(&entry.load_counters)
--- a/crates/steering/src/fault_injection.rs
+++ b/crates/steering/src/fault_injection.rs
@@ -13,6 +13,8 @@
     Drain,
     /// Packets of open flows are reset while the balancer has no table yet.
     EarlyReset,
+    /// The thread that handles packets panics at each packet.
+    Panic,
     /// A draining balancer still reports that it is ready.
     Readiness,
     /// A draining balancer does not exit.
@@ -21,11 +23,12 @@
 
 impl Fault {
     /// Faults by the names that tests use.
-    pub const NAMES: [(&str, Fault); 6] = [
+    pub const NAMES: [(&str, Fault); 7] = [
         ("cookie", Fault::Cookie),
         ("configuration", Fault::Configuration),
         ("drain", Fault::Drain),
         ("early-reset", Fault::EarlyReset),
+        ("panic", Fault::Panic),
         ("readiness", Fault::Readiness),
         ("stop", Fault::Stop),
     ];
--- a/crates/steering/tests/tables.rs
+++ b/crates/steering/tests/tables.rs
@@ -166,3 +166,19 @@
     assert_eq!(ids(&second), [2, 3]);
     assert_eq!(ids(&first), ids(&second));
 }
+
+/// Guards against a process that ends because of one entry of another writer: an entry may carry a warm-up of up to
+/// 2^64 - 2,048 s, which added to the clock of a process that has run for longer exceeds the range of a duration.
+#[test]
+fn an_entry_with_an_extreme_warm_up_is_cold_forever() {
+    let extreme = Record {
+        warmup: Duration::from_secs(u64::MAX - 2_047),
+        ..record(1, "a")
+    };
+    let mut directory = directory(&[]);
+    let hour = Duration::from_secs(3_600);
+    directory.insert(hour, entry_revision(5), extreme);
+    let view = directory.view(hour);
+    let upstream = view.cookies.values().next().expect("the upstream");
+    assert_eq!(upstream.warmup_end, Duration::MAX);
+}
