End a balancer of the CoAP path as a whole when a thread panics

Cause: the threads of 'run' ended one by one as well; the hook of the steering path moves into a module of its own and both commands install it.

--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -43,6 +43,7 @@
 mod listener;
 pub mod logs;
 pub mod metrics;
+mod panic_hook;
 mod peers;
 mod platform_client;
 mod receiver;
--- a/crates/skylarkflow/src/run.rs
+++ b/crates/skylarkflow/src/run.rs
@@ -4,7 +4,7 @@
     crate::{
         command::{CommandError, Result},
         daemon::{Daemon, Handle},
-        logs, settings,
+        logs, panic_hook, settings,
     },
     argh::FromArgs,
     serde_json::json,
@@ -43,6 +43,7 @@
     pub fn run(self) -> Result {
         let settings = settings::from_path(&self.settings).map_err(CommandError::invalid_input)?;
         let writer = logs::start(&settings.log).map_err(CommandError::invalid_input)?;
+        panic_hook::install(&settings.name);
         let identity = (settings.name.clone(), settings.zone.clone());
         // Registered before the start, so that signals that arrive during it stay pending in the iterator.
         let signals = Signals::new([SIGINT, SIGTERM])?;
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -5,7 +5,7 @@
         event,
         event_log::EventLog,
         metrics::Metrics,
-        settings,
+        panic_hook, settings,
         steer_data::{self, Forwarder},
         steer_probe::Waker,
         steer_settings::{self, Settings},
@@ -21,9 +21,7 @@
     std::{
         fs, io,
         net::UdpSocket,
-        panic,
         path::{Path, PathBuf},
-        process,
         sync::Arc,
         thread,
         time::Duration,
@@ -42,9 +40,6 @@
 /// Interval at which a draining balancer checks whether it may exit.
 const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Exit code after a panic, as of a program without a panic hook.
-const PANIC_EXIT_CODE: i32 = 101;
-
 /// Environment variable with the name of the fault to inject into this balancer.
 #[cfg(feature = "planted")]
 const PLANTED_VARIABLE: &str = "SKYLARKFLOW_PLANTED";
@@ -74,7 +69,7 @@
     let metrics = Metrics::new(&settings::Metrics::default())?;
     let phase = Phase::Starting(Starting);
     let state = Arc::new(State::new(event_log, metrics, phase));
-    end_process_on_panic(Arc::clone(&state));
+    panic_hook::install(&settings.name);
     let socket = UdpSocket::bind(settings.datagrams)?;
     let waker = Arc::new(Waker::new(&socket)?);
     let (probes, probe_receiver) = mpsc::unbounded_channel();
@@ -111,19 +106,6 @@
     result
 }
 
-/// Makes a panic in any thread or task end the whole process.
-///
-/// A process without the thread that handles packets, or without a task that follows the store, would still report that
-/// it is ready. The platform starts it again.
-fn end_process_on_panic(state: Arc<State>) {
-    panic::set_hook(Box::new(move |info| {
-        state
-            .event_log
-            .record(&event::PANICKED, format_args!("{info}"));
-        process::exit(PANIC_EXIT_CODE);
-    }));
-}
-
 fn new_balancer(settings: &Settings, state: &State) -> Balancer {
     let settings = balancer::Settings {
         zone: settings.zone.clone(),
