Use a connection of its own for each call of a store or peer

Cause: calls shared kept connections. A second copy of a response that arrives when the connection is in use again was taken for the response to the next call; a list of configurations in place of the list of upstreams removes them all.

Change: no idle connections are kept. Since only a few balancers of each zone watch the store, the additional connections do not grow with the fleet.

Ruled out: matching by the kind in a response, since two lists of one kind at different times look alike.

--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -21,6 +21,7 @@
         list_watch::{ListWatch, PeerTables},
         upstream::UpstreamId,
     },
+    skylarkflow_store::http,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -101,7 +102,10 @@
             forwarder.upstream_events.clone(),
             Arc::clone(&forwarder.waker),
         ));
-        let client = Client::builder().no_proxy().build();
+        let client = Client::builder()
+            .no_proxy()
+            .pool_max_idle_per_host(http::MAX_IDLE_CONNECTIONS)
+            .build();
         let client = client.map_err(skylarkflow_store::Error::from)?;
         let channels = steer_peers::Channels {
             ended_upstreams: forwarder.ended_upstreams,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -13,6 +13,10 @@
 /// Number of unanswered keepalive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// Number of connections that are kept for later calls: none. A late second copy of a response on a connection that is
+/// in use again would be taken for the response to the next call.
+pub const MAX_IDLE_CONNECTIONS: usize = 0;
+
 /// HTTP client of one store.
 #[derive(Clone, Debug)]
 pub struct Http {
@@ -31,6 +35,7 @@
     pub fn new(base_url: &str, timeout: Duration) -> Result<Http> {
         let client = Client::builder()
             .no_proxy()
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .connect_timeout(timeout)
             .tcp_keepalive(KEEPALIVE_INTERVAL)
             .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
