Keep the role of a reader after a failed call

Cause: a failure counts until the next watch has ended, up to 1.5 s for a reader and 30 s for others, but a reader gave up after 1 s; so a single failed call left a zone without a reader for seconds, and the former reader could not be elected again for half a minute.

Change: a reader gives up after 4 s of failures, and a watch after a failure waits for 1.5 s only.

--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -38,7 +38,8 @@
     /// Number of balancers of each zone, in the order of names, that watch a replica of the store although their zone
     /// has a reader, so that a change does not wait for the next reader when one ends.
     pub watchers: usize,
-    /// Time for which the calls of a reader may fail before it gives up its role.
+    /// Time for which the calls of a reader may fail before it gives up its role; longer than the retry of a failed watch
+    /// takes to show that the store is reachable again.
     pub reader_failure_timeout: Duration,
     /// Time without a reader after which a follower watches the store itself; longer than a takeover usually needs.
     pub follower_patience: Duration,
@@ -72,7 +73,7 @@
             remote_fanout: 1,
             readers: 1,
             watchers: 4,
-            reader_failure_timeout: Duration::from_secs(1),
+            reader_failure_timeout: Duration::from_secs(4),
             follower_patience: Duration::from_secs(1),
             heartbeat_timeout: Duration::from_secs(3),
             member_timeout: Duration::from_secs(60),
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -212,10 +212,12 @@
     }
 
     /// Returns the next call and the time at which it is due.
+    ///
+    /// A watch after a failure is short as well, since only its response shows that the store is reachable again.
     pub fn next_call(&self) -> (Duration, Call) {
         let mut next = self.next_call.clone();
         if let Call::Watch { timeout, .. } = &mut next
-            && self.role == Role::Reader
+            && (self.role == Role::Reader || self.failures > 0)
         {
             *timeout = self.settings.reader_watch_timeout;
         }
--- a/crates/steering/tests/list_watch.rs
+++ b/crates/steering/tests/list_watch.rs
@@ -184,3 +184,19 @@
         ContentAction::Ignore
     );
 }
+
+/// Guards against a balancer that counts as cut off from the store for half a minute after a single failed call: only the
+/// end of the next watch shows the contrary.
+#[test]
+fn the_watch_after_a_failure_has_a_short_timeout() {
+    let mut list_watch = list_watch();
+    let now = Duration::from_secs(1);
+    list_watch.handle_outcome(now, page(10, None));
+    list_watch.handle_outcome(now, CallOutcome::Failed);
+    let (_, call) = list_watch.next_call();
+    let short = Settings::default().reader_watch_timeout;
+    assert!(
+        matches!(call, Call::Watch { timeout, .. } if timeout == short),
+        "{call:?}"
+    );
+}
