Log and count responses of the store that are discarded, and read its epoch

E5116 and store.outdated show discarded responses, E5117 and steer.store_epoch that the store was restored, steer.store_revision how far its entries are known; E5118 (debug) names each response.

Decisions are unchanged.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -109,6 +109,11 @@
     5113 ROLE_CHANGED Info "store" "This balancer changes how it learns of changes in the store: as reader, watcher or follower.";
     5114 PEER_TABLES_FETCHED Info "table" "Newer tables were fetched from another balancer.";
     5115 PEER_TABLES_FAILED Warn "table" "Another balancer has newer tables, but fetching them failed.";
+    5116 STORE_RESPONSE_OUTDATED Warn "store"
+        "A response of the store was discarded because its revision is lower than the one that is known.";
+    5117 STORE_RESTORED Warn "store"
+        "The store was restored from an older copy: its epoch has risen, and it gives revisions out again.";
+    5118 STORE_RESPONSE Debug "store" "The store has responded to a list or a watch.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -99,6 +99,8 @@
     Probes "steer.probes" "probes" "Probes of upstreams that may have ended.";
     StoreCalls "store.calls" "calls" "Calls to the store.";
     StoreFailures "store.failures" "calls" "Calls to the store without a valid answer.";
+    StoreResponsesOutdated "store.outdated" "responses"
+        "Responses of the store that were discarded because their revision is lower than the known one.";
     ObjectsMalformed "store.malformed" "objects" "Malformed objects of the store.";
     LogLinesDropped "log.lines_lost" "lines" "Log lines dropped because the queue of lines was full.";
 }
@@ -112,6 +114,10 @@
     Flows "flows.open" "flows" "Flow entries of this balancer.";
     TableVersion "steer.version" "version" "Version of the configuration that is active at a steering balancer.";
     UpstreamsKnown "steer.upstreams" "upstreams" "Upstreams that are registered in the store.";
+    StoreEpoch "steer.store_epoch" "epoch"
+        "Epoch of the store, which rises when the store is restored from an older copy.";
+    StoreRevision "steer.store_revision" "revision"
+        "Revision of the store up to which the upstreams are known in its epoch.";
     Peers "steer.peers" "balancers" "Other steering balancers that this one knows.";
     FlowsRecent "steer.flows" "flows" "Flows that recently sent packets through this balancer.";
     InFlight "requests.in_flight" "requests" "Requests dispatched and not yet answered.";
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -9,12 +9,12 @@
     },
     serde_json::Value,
     skylarkflow_adapter::{
-        client::{self, Store},
+        client::{self, Response, Store},
         object,
     },
     skylarkflow_steering::{
         gossip::Role,
-        list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables},
+        list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables, Revision},
     },
     std::sync::Arc,
     tokio::{sync::watch, time},
@@ -69,9 +69,16 @@
             Ok(()) = role.changed() => continue,
         };
         let failures_before = list_watch.failures();
+        if let Ok(response) = &result {
+            record_response(&sources, kind, &call, response);
+        }
         let (outcome, content) = classify_result(&state, kind, result);
         let store_revision = outcome.revision();
+        let known_revision = list_watch.revision().unwrap_or_default();
         let action = list_watch.handle_outcome(clock.now(), outcome);
+        if action == ContentAction::Ignore && (1..known_revision).contains(&store_revision) {
+            record_outdated_response(&state, kind, store_revision, known_revision);
+        }
         record_store_health(&state, kind, failures_before, &list_watch);
         match (action, content) {
             (ContentAction::Collect, ResponseContent::Page(items)) => listed_items.extend(items),
@@ -97,29 +104,39 @@
     kind: ObjectKind,
     call: &Call,
     requires_latest: bool,
-) -> Result<(CallOutcome, ResponseContent), skylarkflow_store::Error> {
+) -> Result<Response<(CallOutcome, ResponseContent)>, skylarkflow_store::Error> {
     let name = match kind {
         ObjectKind::Config => object::CONFIG,
         ObjectKind::Upstreams => object::UPSTREAMS,
     };
     match call {
         Call::List { after, is_current } => {
-            let page = store.list(name, after.as_deref(), *is_current).await?;
+            let Response { epoch, body: page } =
+                store.list(name, after.as_deref(), *is_current).await?;
             let last = page.items.last().map(|item| object::name(item).to_owned());
             let outcome = CallOutcome::Page {
                 revision: page.revision,
                 next: last.filter(|_| page.more),
             };
-            Ok((outcome, ResponseContent::Page(page.items)))
+            Ok(Response {
+                epoch,
+                body: (outcome, ResponseContent::Page(page.items)),
+            })
         }
         Call::Watch { revision, timeout } => {
-            let changes = store
+            let Response {
+                epoch,
+                body: changes,
+            } = store
                 .watch(name, *revision, *timeout, requires_latest)
                 .await?;
             let outcome = CallOutcome::Changes {
                 revision: changes.revision,
             };
-            Ok((outcome, ResponseContent::Changes(changes.events)))
+            Ok(Response {
+                epoch,
+                body: (outcome, ResponseContent::Changes(changes.events)),
+            })
         }
     }
 }
@@ -127,10 +144,10 @@
 fn classify_result(
     state: &State,
     kind: ObjectKind,
-    result: Result<(CallOutcome, ResponseContent), skylarkflow_store::Error>,
+    result: Result<Response<(CallOutcome, ResponseContent)>, skylarkflow_store::Error>,
 ) -> (CallOutcome, ResponseContent) {
     match result {
-        Ok(outcome) => outcome,
+        Ok(response) => response.body,
         Err(error) if client::is_compacted(&error) => (CallOutcome::Gone, ResponseContent::None),
         Err(error) => {
             state.metrics.count(Counter::StoreFailures);
@@ -143,6 +160,35 @@
     }
 }
 
+fn record_response(
+    sources: &TableSources,
+    kind: ObjectKind,
+    call: &Call,
+    response: &Response<(CallOutcome, ResponseContent)>,
+) {
+    let epoch = response.epoch.unwrap_or_default();
+    let (outcome, _) = &response.body;
+    sources.observe_epoch(epoch);
+    let text = format_args!("{kind:?}: epoch {epoch}, {outcome:?} after {call:?}");
+    sources
+        .state()
+        .event_log
+        .record(&event::STORE_RESPONSE, text);
+}
+
+fn record_outdated_response(
+    state: &State,
+    kind: ObjectKind,
+    store_revision: Revision,
+    known_revision: Revision,
+) {
+    state.metrics.count(Counter::StoreResponsesOutdated);
+    let text = format_args!("{kind:?}: revision {store_revision}, known is {known_revision}");
+    state
+        .event_log
+        .record_limited(state.clock.now(), &event::STORE_RESPONSE_OUTDATED, text);
+}
+
 fn record_store_health(
     state: &State,
     kind: ObjectKind,
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -320,7 +320,8 @@
         state.metrics.count(Counter::StoreCalls);
         let page = store
             .list(object::BALANCERS, after.as_deref(), false)
-            .await?;
+            .await?
+            .body;
         for item in &page.items {
             let name = object::name(item);
             let Ok(entry) = object::decode_registration(item) else {
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -13,7 +13,7 @@
         directory::{self, Directory, EntryRevision},
         gossip::Freshness,
         lifecycle::Phase,
-        list_watch::Revision,
+        list_watch::{Epoch, Revision},
         table::{Adoption, Config, Routes},
         upstream::Record,
     },
@@ -31,6 +31,8 @@
     directory: Directory,
     /// Revision of the store up to which entries of upstreams are known; `None` before the first list.
     revision: Option<Revision>,
+    /// Highest epoch of the store in a response.
+    epoch: Epoch,
 }
 
 /// Kind of object that is listed and watched.
@@ -56,6 +58,7 @@
                 routes: Routes::default(),
                 directory,
                 revision: None,
+                epoch: 0,
             }),
         }
     }
@@ -95,6 +98,7 @@
         metrics.set(Gauge::TableVersion, table.version);
         let registered_count = inputs.directory.registered().count() as u64;
         metrics.set(Gauge::UpstreamsKnown, registered_count);
+        metrics.set(Gauge::StoreRevision, inputs.revision.unwrap_or_default());
         self.state.publish_table(table);
         if let Phase::Starting(starting) = self.state.phase()
             && inputs.revision.is_some()
@@ -110,6 +114,19 @@
         }
     }
 
+    /// Records the epoch of the store in a response.
+    pub fn observe_epoch(&self, epoch: Epoch) {
+        let mut inputs = self.inputs();
+        let known = inputs.epoch;
+        inputs.epoch = known.max(epoch);
+        drop(inputs);
+        self.state.metrics.set(Gauge::StoreEpoch, known.max(epoch));
+        if known != 0 && epoch > known {
+            let text = format_args!("epoch {epoch} follows {known}");
+            self.state.event_log.record(&event::STORE_RESTORED, text);
+        }
+    }
+
     /// Returns the configuration version and the store revision that are known.
     pub fn freshness(&self) -> Freshness {
         let inputs = self.inputs();
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -10,6 +10,10 @@
 /// Revision of the store; a higher one is newer.
 pub type Revision = u64;
 
+/// Number of a history of the store. It rises when the store is restored from an older copy, which gives revisions out
+/// again.
+pub type Epoch = u64;
+
 /// Settings of a [`ListWatch`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
