Reproduce the loss of changes after the store was restored from an older copy

Real processes against an emulated store that is restored from a copy of itself: it counts from the copy's revision again and its epoch rises.

--- /dev/null
+++ b/crates/skylarkflow/tests/restored_store.rs
@@ -0,0 +1,156 @@
+//! Guards against balancers that miss changes after the store was restored from an older copy of itself: its revisions
+//! are lower then, and are given out again.
+
+mod support;
+
+use {
+    skylarkflow_adapter_emulator::{
+        objects::UpstreamEntry,
+        store::{Fault, Snapshot},
+        upstream::Upstream,
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        time::{Duration, Instant},
+    },
+    support::steering::{
+        POOL, SERVICE, Site, TIMEOUT, new_caller, ready_entry, start_site, wait_for_answer,
+        wait_for_answer_of,
+    },
+    tokio::{runtime::Runtime, time},
+};
+
+/// Service whose route is added before the store is restored.
+const EARLIER_SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
+
+/// Service whose route is added after the store was restored.
+const LATER_SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 3), 443);
+
+/// Number of changes that are lost, so that revisions of the restored store stay lower for long.
+const LOST_CHANGES: u64 = 40;
+
+fn configure(site: &Site, version: u64, services: &[SocketAddrV4]) {
+    let routes: Vec<_> = services.iter().map(|&service| (service, POOL)).collect();
+    site.store.configure(version, &routes);
+}
+
+/// Raises the revision of the store by entries that no route uses.
+fn write_other_entries(site: &Site, count: u64) {
+    for id in 0..count {
+        let entry = UpstreamEntry {
+            pool: "other".to_owned(),
+            ..ready_entry(SocketAddr::from((Ipv4Addr::new(127, 9, 0, 1), 9)))
+        };
+        site.store.register(1_000 + id, &entry);
+    }
+}
+
+/// Makes changes that the balancer applies and that the returned copy of the store lacks.
+async fn make_changes_after_a_copy(site: &Site, net: u8) -> Snapshot {
+    let caller = new_caller(site, net).await;
+    assert_eq!(wait_for_answer(site, &caller, 2_000).await, 7);
+    let copy = site.store.snapshot();
+    write_other_entries(site, LOST_CHANGES);
+    configure(site, 2, &[SERVICE, EARLIER_SERVICE]);
+    assert_eq!(
+        wait_for_answer_of(site, &caller, 2_001, EARLIER_SERVICE).await,
+        7
+    );
+    copy
+}
+
+async fn assert_later_service_is_reached(site: &Site, net: u8) {
+    let caller = new_caller(site, net).await;
+    assert_eq!(
+        wait_for_answer_of(site, &caller, 2_002, LATER_SERVICE).await,
+        7
+    );
+}
+
+#[test]
+fn a_change_after_a_restore_becomes_active() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(54).await;
+        let copy = make_changes_after_a_copy(&site, 54).await;
+        site.store.restore(copy);
+        configure(&site, 2, &[SERVICE, EARLIER_SERVICE]);
+        configure(&site, 3, &[SERVICE, EARLIER_SERVICE, LATER_SERVICE]);
+        assert_later_service_is_reached(&site, 54).await;
+    });
+}
+
+#[test]
+fn a_change_with_a_revision_that_was_given_out_before_is_not_skipped() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(55).await;
+        let copy = make_changes_after_a_copy(&site, 55).await;
+        site.store.set_fault(Fault::Refuse);
+        site.store.restore(copy);
+        configure(&site, 3, &[SERVICE, EARLIER_SERVICE, LATER_SERVICE]);
+        // The store counts beyond the revision that the balancer knows before it can be read.
+        write_other_entries(&site, 2 * LOST_CHANGES);
+        site.store.set_fault(Fault::None);
+        assert_later_service_is_reached(&site, 55).await;
+    });
+}
+
+#[test]
+fn an_upstream_that_drains_after_a_restore_gets_no_new_flows() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(56).await;
+        let copy = make_changes_after_a_copy(&site, 56).await;
+        let caller = new_caller(&site, 56).await;
+        let draining = ready_entry(site.upstream.address);
+        // The entry is known with a revision that the store gives out again.
+        site.store.register(7, &draining);
+        let address = SocketAddr::from((Ipv4Addr::new(127, 56, 0, 9), 0));
+        let other = Upstream::start(8, address, site.port).await;
+        let other = other.expect("another upstream");
+        site.store.restore(copy);
+        let draining = UpstreamEntry {
+            is_draining: true,
+            ..draining
+        };
+        site.store.register(7, &draining);
+        site.store.register(8, &ready_entry(other.address));
+        write_other_entries(&site, 2 * LOST_CHANGES);
+        let start = Instant::now();
+        let mut consecutive = 0;
+        for port in 2_100.. {
+            let is_other = wait_for_answer(&site, &caller, port).await == 8;
+            consecutive = if is_other { consecutive + 1 } else { 0 };
+            if consecutive == 20 {
+                break;
+            }
+            assert!(
+                start.elapsed() < TIMEOUT,
+                "the draining upstream still gets new flows after {TIMEOUT:?}"
+            );
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+#[test]
+fn a_registration_that_a_restore_has_lost_is_written_again() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(57).await;
+        let start = Instant::now();
+        let mut is_restored = false;
+        loop {
+            let is_registered = site.store.contains("balancers", "b");
+            if is_registered && is_restored {
+                break;
+            }
+            if is_registered {
+                site.store.restore(site.initial_objects.clone());
+                is_restored = true;
+            }
+            assert!(
+                start.elapsed() < TIMEOUT,
+                "no registration within {TIMEOUT:?}; restored: {is_restored}"
+            );
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -1,134 +1,22 @@
 //! Tests of the `steer` command with an emulated store, upstream and caller: malformed input, changed and invalid
 //! settings, crashed upstreams.
 
+mod support;
+
 use {
-    skylarkflow_adapter_emulator::{
-        caller::{Caller, Outcome},
-        objects::UpstreamEntry,
-        store::Store,
-        upstream::Upstream,
-    },
+    skylarkflow_adapter_emulator::{caller::Outcome, store::Store, upstream::Upstream},
     std::{
         fs,
-        net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
-        path::{Path, PathBuf},
-        process::{Child, Command, Stdio},
+        net::{Ipv4Addr, SocketAddr, UdpSocket},
+        process::Command,
         time::{Duration, Instant},
     },
-    tempfile::TempDir,
+    support::steering::{
+        SERVICE, TIMEOUT, new_caller, settings_yaml, start_site, wait_for_answer, wait_for_event,
+    },
     tokio::{runtime::Runtime, time},
 };
 
-const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
-
-/// Timeout for a condition, long enough for a busy machine.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
-struct Site {
-    store: Store,
-    upstream: Upstream,
-    balancer: Child,
-    address: SocketAddr,
-    settings: PathBuf,
-    port: u16,
-    _folder: TempDir,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        // Both fail if the process has already exited.
-        let _ = self.balancer.kill();
-        let _ = self.balancer.wait();
-    }
-}
-
-fn settings_yaml(ip: Ipv4Addr, port: u16, store: SocketAddr) -> String {
-    format!(
-        "name: b\nzone: a\ndatagrams: {ip}:{port}\nhttp: {ip}:{port}\nstore: {store}\npeers: {{first_port: {peer}, \
-         last_port: {peer}}}\nlog: {{output: stdout}}\n",
-        peer = port - 1,
-    )
-}
-
-async fn start_site(net: u8) -> Site {
-    let folder = tempfile::tempdir().expect("a folder");
-    let ip = Ipv4Addr::new(127, net, 0, 1);
-    let probe = UdpSocket::bind((ip, 0)).expect("a free port");
-    let port = probe.local_addr().expect("an address").port();
-    drop(probe);
-    let store = Store::start().await.expect("a store");
-    let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 2), 0));
-    let upstream = Upstream::start(7, address, port)
-        .await
-        .expect("an upstream");
-    let entry = UpstreamEntry {
-        pool: "pool".to_owned(),
-        address: upstream.address,
-        zone: "a".to_owned(),
-        is_draining: false,
-    };
-    store.register(7, &entry);
-    store.configure(1, &[(SERVICE, "pool")]);
-    let path = folder.path().join("settings.yaml");
-    fs::write(&path, settings_yaml(ip, port, store.address)).expect("settings");
-    let log = fs::File::create(folder.path().join("log")).expect("a log");
-    let balancer = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
-        .args(["steer", "--settings"])
-        .arg(&path)
-        .stdout(log)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("a balancer");
-    Site {
-        store,
-        upstream,
-        balancer,
-        address: SocketAddr::from((ip, port)),
-        settings: path,
-        port,
-        _folder: folder,
-    }
-}
-
-async fn wait_for_answer(site: &Site, caller: &Caller, port: u16) -> u64 {
-    let start = Instant::now();
-    loop {
-        let mut flow = caller.open(port, SERVICE, || site.address).await;
-        if let Ok(flow) = &mut flow {
-            let outcome = caller.request(flow, b"hello", || site.address).await;
-            if let Outcome::Answered(id) = outcome {
-                return id;
-            }
-        }
-        assert!(
-            start.elapsed() < TIMEOUT,
-            "no answer within {TIMEOUT:?}: {flow:?}"
-        );
-    }
-}
-
-async fn new_caller(site: &Site, net: u8) -> Caller {
-    let address = SocketAddrV4::new(Ipv4Addr::new(127, net, 0, 3), site.port);
-    Caller::new(address).await.expect("a caller")
-}
-
-fn read_log(site: &Site) -> String {
-    let path = site.settings.parent().unwrap_or(Path::new("")).join("log");
-    fs::read_to_string(path).unwrap_or_default()
-}
-
-async fn wait_for_event(site: &Site, event: &str) {
-    let start = Instant::now();
-    while !read_log(site).contains(event) {
-        assert!(
-            start.elapsed() < TIMEOUT,
-            "no event {event} within {TIMEOUT:?} in {}",
-            read_log(site)
-        );
-        time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 /// Guards against a panic or an interruption of service after malformed datagrams and malformed objects of the store.
 #[test]
 fn malformed_input_does_not_interrupt_service() {
--- a/crates/skylarkflow/tests/support/mod.rs
+++ b/crates/skylarkflow/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod site;
+pub mod steering;
 
 use {
     coap_lite::{MessageClass, Packet, RequestType, ResponseType},
