Order what is known of the store by its epoch as well as its revision

Cause: list and watch, the directory of upstreams, gossip and the tables of peers compared bare revisions, which are only comparable within one history of the store. Each list after the restore (revision 39) was taken for one of a lagging replica, as 62 was known, and repeated each 0.12 s. Had the store counted on to 62 meanwhile, the watch would have gone on from there and skipped the changes below it.

Change: a Position is the store's epoch and a revision, ordered in this way, wherever a bare revision was compared. A response of a later epoch is newer; a watch or list that spans a restore is followed by a list. Epochs spread with reports and tables; balancers of earlier versions ignore the field, and their own messages count as epoch 0. Followers make no lists.

--- a/crates/peer/src/report.rs
+++ b/crates/peer/src/report.rs
@@ -3,7 +3,10 @@
 use {
     crate::error::{Error, ErrorCode, Result},
     serde::{Deserialize, Serialize},
-    skylarkflow_steering::gossip::{Freshness, Heartbeat, PeerInfo, Report},
+    skylarkflow_steering::{
+        gossip::{Freshness, Heartbeat, PeerInfo, Report},
+        position::{Epoch, Position},
+    },
     std::net::SocketAddr,
 };
 
@@ -11,7 +14,8 @@
 const VERSION: u8 = 1;
 
 /// A report with its fields by position, which keeps it short: name, zone and address of the sender, version and
-/// revision of its tables, name, start and heartbeat sequence of each reader, and the upstreams that ended.
+/// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, and the epoch of
+/// the revision, which reports of older versions lack and their balancers ignore.
 #[derive(Deserialize, Serialize)]
 struct ReportWire(
     String,
@@ -21,6 +25,7 @@
     u64,
     Vec<(String, u64, u64)>,
     Vec<u64>,
+    #[serde(default)] Epoch,
 );
 
 impl From<Report> for ReportWire {
@@ -37,18 +42,19 @@
             from.zone,
             from.address,
             freshness.version,
-            freshness.revision,
+            freshness.position.revision,
             readers
                 .map(|heartbeat| (heartbeat.name, heartbeat.incarnation, heartbeat.sequence))
                 .collect(),
             ended,
+            freshness.position.epoch,
         )
     }
 }
 
 impl From<ReportWire> for Report {
     fn from(wire: ReportWire) -> Report {
-        let ReportWire(name, zone, address, version, revision, readers, ended) = wire;
+        let ReportWire(name, zone, address, version, revision, readers, ended, epoch) = wire;
         let heartbeat = |(name, incarnation, sequence): (String, u64, u64)| Heartbeat {
             name,
             incarnation,
@@ -60,7 +66,10 @@
                 zone,
                 address,
             },
-            freshness: Freshness { version, revision },
+            freshness: Freshness {
+                version,
+                position: Position { epoch, revision },
+            },
             readers: readers.into_iter().map(heartbeat).collect(),
             ended,
         }
--- a/crates/peer/src/tables.rs
+++ b/crates/peer/src/tables.rs
@@ -5,6 +5,7 @@
     serde::{Deserialize, Serialize},
     skylarkflow_steering::{
         directory::{Change, Update},
+        position::{Epoch, Position},
         table::{Config, Route, Target},
         upstream::{Record, State},
     },
@@ -16,8 +17,8 @@
 pub struct Tables {
     /// Configuration, if the peer has an older version.
     pub config: Option<Config>,
-    /// Store revision that the peer reaches with the changes.
-    pub revision: u64,
+    /// Position of the store that the peer reaches with the changes.
+    pub position: Position,
     /// Entries of upstreams.
     pub upstreams: Update,
 }
@@ -33,6 +34,9 @@
     /// Absent in messages of older versions.
     #[serde(default)]
     complete: bool,
+    /// Epoch of the revisions. Absent in messages of older versions.
+    #[serde(default)]
+    epoch: Epoch,
 }
 
 /// Names of pools and zones, which records refer to by index.
@@ -80,10 +84,11 @@
         let changes = changes.collect();
         TablesWire {
             config: tables.config.map(Into::into),
-            revision: tables.revision,
+            revision: tables.position.revision,
             names,
             changes,
             complete: tables.upstreams.is_complete,
+            epoch: tables.position.epoch,
         }
     }
 }
@@ -103,7 +108,10 @@
         });
         Ok(Tables {
             config: wire.config.map(Into::into),
-            revision: wire.revision,
+            position: Position {
+                epoch: wire.epoch,
+                revision: wire.revision,
+            },
             upstreams: Update {
                 changes: changes.collect::<Result<_>>()?,
                 is_complete: wire.complete,
--- a/crates/peer/tests/tables.rs
+++ b/crates/peer/tests/tables.rs
@@ -4,6 +4,7 @@
     skylarkflow_peer::tables::{self, Tables},
     skylarkflow_steering::{
         directory::{Change, Update},
+        position::Position,
         table::{Config, Route, Target},
         upstream::{Record, State},
     },
@@ -48,7 +49,10 @@
             health_paths: BTreeMap::from([("pool-1".to_owned(), "/health".to_owned())]),
             idle_timeout: Duration::from_secs(15),
         }),
-        revision: 5_000,
+        position: Position {
+            epoch: 3,
+            revision: 5_000,
+        },
         upstreams: Update {
             changes: (0..count).map(change).collect(),
             is_complete: count > 1,
--- a/crates/skylarkflow/src/bench_steer.rs
+++ b/crates/skylarkflow/src/bench_steer.rs
@@ -19,6 +19,7 @@
         balancer::{Balancer, Settings, Verdict},
         directory::{self, Directory},
         lifecycle::{Phase, Starting},
+        position::Position,
         segment::{Kind, Segment},
         table::{Config, Route, Routes, Table, Target},
         upstream::{Record, State as UpstreamState},
@@ -85,7 +86,7 @@
         started_unix_ms: 1,
     };
     let records = (0..upstreams).map(|index| (1, record(index))).collect();
-    directory.replace(Duration::ZERO, 1, records);
+    directory.replace(Duration::ZERO, Position::default(), records);
     let route = |index: usize| Route {
         name: format!("route-{index}"),
         address: service_address(index),
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -110,7 +110,7 @@
     5114 PEER_TABLES_FETCHED Info "table" "Newer tables were fetched from another balancer.";
     5115 PEER_TABLES_FAILED Warn "table" "Another balancer has newer tables, but fetching them failed.";
     5116 STORE_RESPONSE_OUTDATED Warn "store"
-        "A response of the store was discarded because its revision is lower than the one that is known.";
+        "A response of the store was discarded: it is older than what is known, or its watch began before a restore.";
     5117 STORE_RESTORED Warn "store"
         "The store was restored from an older copy: its epoch has risen, and it gives revisions out again.";
     5118 STORE_RESPONSE Debug "store" "The store has responded to a list or a watch.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -100,7 +100,7 @@
     StoreCalls "store.calls" "calls" "Calls to the store.";
     StoreFailures "store.failures" "calls" "Calls to the store without a valid answer.";
     StoreResponsesOutdated "store.outdated" "responses"
-        "Responses of the store that were discarded because their revision is lower than the known one.";
+        "Responses of the store that were discarded: older than what is known, or watched from before a restore.";
     ObjectsMalformed "store.malformed" "objects" "Malformed objects of the store.";
     LogLinesDropped "log.lines_lost" "lines" "Log lines dropped because the queue of lines was full.";
 }
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -14,7 +14,8 @@
     },
     skylarkflow_steering::{
         gossip::Role,
-        list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables, Revision},
+        list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables},
+        position::{Epoch, Position},
     },
     std::sync::Arc,
     tokio::{sync::watch, time},
@@ -40,6 +41,7 @@
 ) {
     let state = Arc::clone(sources.state());
     let clock = state.clock;
+    let mut epoch = sources.subscribe_epoch();
     let mut listed_items: Vec<Value> = Vec::new();
     loop {
         if list_watch.set_peer_tables(clock.now(), *peer_tables.borrow_and_update()) {
@@ -48,8 +50,10 @@
         let current_role = *role.borrow_and_update();
         if list_watch.is_paused() && kind == ObjectKind::Upstreams {
             // The configuration has no revision of its own in the tables of peers, so its watch is not moved.
-            list_watch.advance(sources.freshness().revision);
+            list_watch.advance(sources.freshness().position);
         }
+        let known_epoch = *epoch.borrow_and_update();
+        list_watch.observe_epoch(clock.now(), known_epoch);
         list_watch.set_role(clock.now(), current_role);
         if list_watch.is_paused() {
             state.set_store_unreachable(kind, false);
@@ -59,25 +63,27 @@
             () = time::sleep(due.saturating_sub(clock.now())) => {}
             Ok(()) = peer_tables.changed() => continue,
             Ok(()) = role.changed() => continue,
+            Ok(()) = epoch.changed() => continue,
         }
         state.metrics.count(Counter::StoreCalls);
         let requires_latest = current_role == Role::Reader;
         let (_, call) = list_watch.next_call();
         let result = tokio::select! {
-            result = call_store(&store, kind, &call, requires_latest) => result,
-            // The pending watch is replaced by one that suits the new role.
+            result = call_store(&store, kind, &call, requires_latest, known_epoch) => result,
+            // The pending watch is replaced by one that suits the new role, or by a list of the restored store.
             Ok(()) = role.changed() => continue,
+            Ok(()) = epoch.changed() => continue,
         };
         let failures_before = list_watch.failures();
-        if let Ok(response) = &result {
-            record_response(&sources, kind, &call, response);
-        }
         let (outcome, content) = classify_result(&state, kind, result);
-        let store_revision = outcome.revision();
-        let known_revision = list_watch.revision().unwrap_or_default();
+        let store_position = outcome.position();
+        if let Some(position) = store_position {
+            record_response(&sources, kind, &call, position);
+        }
+        let known_position = list_watch.position();
         let action = list_watch.handle_outcome(clock.now(), outcome);
-        if action == ContentAction::Ignore && (1..known_revision).contains(&store_revision) {
-            record_outdated_response(&state, kind, store_revision, known_revision);
+        if action == ContentAction::Ignore && store_position.is_some() {
+            record_outdated_response(&state, kind, store_position, known_position);
         }
         record_store_health(&state, kind, failures_before, &list_watch);
         match (action, content) {
@@ -86,13 +92,13 @@
                 listed_items.extend(items);
                 sources.replace_all(
                     kind,
-                    list_watch.revision().unwrap_or_default(),
+                    list_watch.position().unwrap_or_default(),
                     &listed_items,
                 );
                 listed_items.clear();
             }
             (ContentAction::Apply, ResponseContent::Changes(changes)) => {
-                sources.apply_changes(kind, store_revision, &changes)
+                sources.apply_changes(kind, store_position.unwrap_or_default(), &changes)
             }
             _ => listed_items.clear(),
         }
@@ -104,7 +110,8 @@
     kind: ObjectKind,
     call: &Call,
     requires_latest: bool,
-) -> Result<Response<(CallOutcome, ResponseContent)>, skylarkflow_store::Error> {
+    known_epoch: Epoch,
+) -> Result<(CallOutcome, ResponseContent), skylarkflow_store::Error> {
     let name = match kind {
         ObjectKind::Config => object::CONFIG,
         ObjectKind::Upstreams => object::UPSTREAMS,
@@ -114,14 +121,15 @@
             let Response { epoch, body: page } =
                 store.list(name, after.as_deref(), *is_current).await?;
             let last = page.items.last().map(|item| object::name(item).to_owned());
-            let outcome = CallOutcome::Page {
+            let position = Position {
+                epoch: epoch.unwrap_or(known_epoch),
                 revision: page.revision,
+            };
+            let outcome = CallOutcome::Page {
+                position,
                 next: last.filter(|_| page.more),
             };
-            Ok(Response {
-                epoch,
-                body: (outcome, ResponseContent::Page(page.items)),
-            })
+            Ok((outcome, ResponseContent::Page(page.items)))
         }
         Call::Watch { revision, timeout } => {
             let Response {
@@ -130,13 +138,12 @@
             } = store
                 .watch(name, *revision, *timeout, requires_latest)
                 .await?;
-            let outcome = CallOutcome::Changes {
+            let position = Position {
+                epoch: epoch.unwrap_or(known_epoch),
                 revision: changes.revision,
             };
-            Ok(Response {
-                epoch,
-                body: (outcome, ResponseContent::Changes(changes.events)),
-            })
+            let outcome = CallOutcome::Changes { position };
+            Ok((outcome, ResponseContent::Changes(changes.events)))
         }
     }
 }
@@ -144,10 +151,10 @@
 fn classify_result(
     state: &State,
     kind: ObjectKind,
-    result: Result<Response<(CallOutcome, ResponseContent)>, skylarkflow_store::Error>,
+    result: Result<(CallOutcome, ResponseContent), skylarkflow_store::Error>,
 ) -> (CallOutcome, ResponseContent) {
     match result {
-        Ok(response) => response.body,
+        Ok(outcome) => outcome,
         Err(error) if client::is_compacted(&error) => (CallOutcome::Gone, ResponseContent::None),
         Err(error) => {
             state.metrics.count(Counter::StoreFailures);
@@ -160,16 +167,9 @@
     }
 }
 
-fn record_response(
-    sources: &TableSources,
-    kind: ObjectKind,
-    call: &Call,
-    response: &Response<(CallOutcome, ResponseContent)>,
-) {
-    let epoch = response.epoch.unwrap_or_default();
-    let (outcome, _) = &response.body;
-    sources.observe_epoch(epoch);
-    let text = format_args!("{kind:?}: epoch {epoch}, {outcome:?} after {call:?}");
+fn record_response(sources: &TableSources, kind: ObjectKind, call: &Call, position: Position) {
+    sources.observe_epoch(position.epoch);
+    let text = format_args!("{kind:?}: {position:?} after {call:?}");
     sources
         .state()
         .event_log
@@ -179,11 +179,11 @@
 fn record_outdated_response(
     state: &State,
     kind: ObjectKind,
-    store_revision: Revision,
-    known_revision: Revision,
+    store_position: Option<Position>,
+    known_position: Option<Position>,
 ) {
     state.metrics.count(Counter::StoreResponsesOutdated);
-    let text = format_args!("{kind:?}: revision {store_revision}, known is {known_revision}");
+    let text = format_args!("{kind:?}: {store_position:?}, known is {known_position:?}");
     state
         .event_log
         .record_limited(state.clock.now(), &event::STORE_RESPONSE_OUTDATED, text);
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -25,7 +25,9 @@
     skylarkflow_peer::{report, tables},
     skylarkflow_steering::{
         gossip::{self, Action, Freshness, Gossip, PeerInfo, Report, Role},
-        list_watch::{PeerTables, Revision},
+        list_watch::PeerTables,
+        position::{Epoch, Position, Revision},
+        table::Version,
         upstream::UpstreamId,
     },
     std::{
@@ -123,16 +125,16 @@
                     receive_report(&state, &mut gossip, from, &buffer[..length]);
                 }
                 // Without tables, fetch them from the first peer that reports some instead of at the next tick.
-                if sources.freshness().revision == 0 {
+                if sources.freshness().position == Position::default() {
                     gossip.tick(state.clock.now());
                 }
             }
             Some(id) = channels.ended_upstreams.recv() => gossip.record_ended_upstream(state.clock.now(), id),
             Some(peers) = channels.registered_peers.recv() => gossip.set_registered_peers(state.clock.now(), peers),
-            Some(taken_revision) = fetched.recv() => {
+            Some(taken_position) = fetched.recv() => {
                 gossip.finish_fetch();
-                if let Some(revision) = taken_revision {
-                    channels.peer_tables.send_replace(PeerTables::Received(revision));
+                if let Some(position) = taken_position {
+                    channels.peer_tables.send_replace(PeerTables::Received(position));
                 }
                 // Peers that wait for the tables learn at once that this balancer has them.
                 gossip.set_freshness(sources.freshness());
@@ -200,20 +202,23 @@
     state.metrics.count(counter);
 }
 
-/// Fetches newer tables from a balancer and merges them; returns their revision if no upstreams were known before.
+/// Fetches newer tables from a balancer and merges them; returns their position if no upstreams were known before.
 async fn fetch_and_merge_tables(
     sources: Arc<TableSources>,
     client: Client,
     address: SocketAddr,
     freshness: Freshness,
-) -> Option<Revision> {
-    let Freshness { version, revision } = freshness;
-    let url = format!("http://{address}{TABLES_PATH}?version={version}&revision={revision}");
+) -> Option<Position> {
+    let Freshness { version, position } = freshness;
+    let Position { epoch, revision } = position;
+    let url = format!(
+        "http://{address}{TABLES_PATH}?version={version}&epoch={epoch}&revision={revision}"
+    );
     let state = sources.state();
     match fetch_tables(&client, url).await {
         Ok(tables) => {
-            let (revision, changes) = (tables.revision, tables.upstreams.changes.len());
-            let text = format_args!("from {address}: revision {revision}, {changes} changes");
+            let (position, changes) = (tables.position, tables.upstreams.changes.len());
+            let text = format_args!("from {address}: {position:?}, {changes} changes");
             state.event_log.record(&event::PEER_TABLES_FETCHED, text);
             sources.merge(tables)
         }
@@ -240,8 +245,11 @@
 
 #[derive(Deserialize)]
 struct TablesQuery {
-    version: u64,
-    revision: u64,
+    version: Version,
+    /// Absent in requests of older versions.
+    #[serde(default)]
+    epoch: Epoch,
+    revision: Revision,
 }
 
 /// Returns the router of the HTTP server for other balancers.
@@ -253,9 +261,16 @@
 
 async fn serve_tables(
     extract::State(sources): extract::State<Arc<TableSources>>,
-    Query(TablesQuery { version, revision }): Query<TablesQuery>,
+    Query(query): Query<TablesQuery>,
 ) -> Result<Vec<u8>, StatusCode> {
-    let tables = sources.tables_after(Freshness { version, revision });
+    let position = Position {
+        epoch: query.epoch,
+        revision: query.revision,
+    };
+    let tables = sources.tables_after(Freshness {
+        version: query.version,
+        position,
+    });
     tables::to_vec(tables).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -13,26 +13,27 @@
         directory::{self, Directory, EntryRevision},
         gossip::Freshness,
         lifecycle::Phase,
-        list_watch::{Epoch, Revision},
+        position::{Epoch, Position},
         table::{Adoption, Config, Routes},
         upstream::Record,
     },
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::watch,
 };
 
 /// Routes and upstreams from the store and from peers, from which tables are built.
 pub struct TableSources {
     state: Arc<State>,
     inputs: Mutex<TableInputs>,
+    /// Highest known epoch of the store.
+    epoch: watch::Sender<Epoch>,
 }
 
 struct TableInputs {
     routes: Routes,
     directory: Directory,
-    /// Revision of the store up to which entries of upstreams are known; `None` before the first list.
-    revision: Option<Revision>,
-    /// Highest epoch of the store in a response.
-    epoch: Epoch,
+    /// Position of the store up to which entries of upstreams are known; `None` before the first list.
+    position: Option<Position>,
 }
 
 /// Kind of object that is listed and watched.
@@ -57,9 +58,9 @@
             inputs: Mutex::new(TableInputs {
                 routes: Routes::default(),
                 directory,
-                revision: None,
-                epoch: 0,
+                position: None,
             }),
+            epoch: watch::Sender::new(0),
         }
     }
 
@@ -98,10 +99,11 @@
         metrics.set(Gauge::TableVersion, table.version);
         let registered_count = inputs.directory.registered().count() as u64;
         metrics.set(Gauge::UpstreamsKnown, registered_count);
-        metrics.set(Gauge::StoreRevision, inputs.revision.unwrap_or_default());
+        let known_revision = inputs.position.unwrap_or_default().revision;
+        metrics.set(Gauge::StoreRevision, known_revision);
         self.state.publish_table(table);
         if let Phase::Starting(starting) = self.state.phase()
-            && inputs.revision.is_some()
+            && inputs.position.is_some()
         {
             self.state.set_phase(Phase::Serving(starting.serve()));
             self.state.event_log.record(
@@ -114,30 +116,40 @@
         }
     }
 
-    /// Records the epoch of the store in a response.
+    /// Records the epoch of the store in a response or in the tables of a peer.
     pub fn observe_epoch(&self, epoch: Epoch) {
-        let mut inputs = self.inputs();
-        let known = inputs.epoch;
-        inputs.epoch = known.max(epoch);
-        drop(inputs);
-        self.state.metrics.set(Gauge::StoreEpoch, known.max(epoch));
-        if known != 0 && epoch > known {
+        let mut known = 0;
+        let has_risen = self.epoch.send_if_modified(|highest| {
+            known = *highest;
+            *highest = known.max(epoch);
+            *highest > known
+        });
+        if !has_risen {
+            return;
+        }
+        self.state.metrics.set(Gauge::StoreEpoch, epoch);
+        if known != 0 {
             let text = format_args!("epoch {epoch} follows {known}");
             self.state.event_log.record(&event::STORE_RESTORED, text);
         }
     }
 
-    /// Returns the configuration version and the store revision that are known.
+    /// Returns a receiver of the highest known epoch of the store.
+    pub fn subscribe_epoch(&self) -> watch::Receiver<Epoch> {
+        self.epoch.subscribe()
+    }
+
+    /// Returns the configuration version and the store position that are known.
     pub fn freshness(&self) -> Freshness {
         let inputs = self.inputs();
         Freshness {
             version: inputs.routes.version().unwrap_or_default(),
-            revision: inputs.revision.unwrap_or_default(),
+            position: inputs.position.unwrap_or_default(),
         }
     }
 
     /// Returns the configuration and the changes of upstreams that are newer than a peer's configuration version and
-    /// store revision.
+    /// store position.
     pub fn tables_after(&self, freshness: Freshness) -> Tables {
         let inputs = self.inputs();
         let config = inputs.routes.config();
@@ -145,33 +157,34 @@
             config: config
                 .filter(|config| config.version > freshness.version)
                 .cloned(),
-            revision: inputs.revision.unwrap_or_default(),
-            upstreams: inputs.directory.update_after(freshness.revision),
+            position: inputs.position.unwrap_or_default(),
+            upstreams: inputs.directory.update_after(freshness.position),
         }
     }
 
-    /// Merges the tables of another balancer; returns their revision if no upstreams were known before.
-    pub fn merge(&self, tables: Tables) -> Option<Revision> {
+    /// Merges the tables of another balancer; returns their position if no upstreams were known before.
+    pub fn merge(&self, tables: Tables) -> Option<Position> {
+        self.observe_epoch(tables.position.epoch);
         if let Some(config) = tables.config {
             self.adopt_config(config);
         }
         let now = self.state.clock.now();
         let mut inputs = self.inputs();
-        let revision_before = inputs.revision;
-        if tables.revision > revision_before.unwrap_or_default() {
+        let position_before = inputs.position;
+        if tables.position > position_before.unwrap_or_default() {
             inputs
                 .directory
-                .apply(now, tables.revision, tables.upstreams);
-            inputs.revision = Some(tables.revision);
+                .apply(now, tables.position, tables.upstreams);
+            inputs.position = Some(tables.position);
         }
-        let taken_revision = inputs.revision.filter(|_| revision_before.is_none());
+        let taken_position = inputs.position.filter(|_| position_before.is_none());
         drop(inputs);
         self.publish_table();
-        taken_revision
+        taken_position
     }
 
-    /// Replaces the objects of a kind by a complete list of the store at a revision.
-    pub fn replace_all(&self, kind: ObjectKind, store_revision: Revision, items: &[Value]) {
+    /// Replaces the objects of a kind by a complete list of the store at a position.
+    pub fn replace_all(&self, kind: ObjectKind, store_position: Position, items: &[Value]) {
         match kind {
             ObjectKind::Config => items.iter().for_each(|item| self.adopt_object(item)),
             ObjectKind::Upstreams => {
@@ -181,40 +194,40 @@
                 let records = records.collect();
                 let now = self.state.clock.now();
                 let mut inputs = self.inputs();
-                inputs.directory.replace(now, store_revision, records);
-                inputs.advance_revision(store_revision);
+                inputs.directory.replace(now, store_position, records);
+                inputs.advance_position(store_position);
             }
         }
         self.publish_table();
     }
 
-    /// Applies the changes up to a revision of the store.
+    /// Applies the changes up to a position of the store.
     pub fn apply_changes(
         &self,
         kind: ObjectKind,
-        store_revision: Revision,
+        store_position: Position,
         changes: &[object::Change],
     ) {
         for change in changes {
             match kind {
                 ObjectKind::Config if change.removed => {}
                 ObjectKind::Config => self.adopt_object(&change.object),
-                ObjectKind::Upstreams => self.apply_upstream_change(store_revision, change),
+                ObjectKind::Upstreams => self.apply_upstream_change(store_position, change),
             }
         }
         if kind == ObjectKind::Upstreams {
-            self.inputs().advance_revision(store_revision);
+            self.inputs().advance_position(store_position);
         }
         if !changes.is_empty() {
             self.publish_table();
         }
     }
 
-    fn apply_upstream_change(&self, store_revision: Revision, change: &object::Change) {
+    fn apply_upstream_change(&self, store_position: Position, change: &object::Change) {
         let now = self.state.clock.now();
         let entry_revision = EntryRevision {
             revision: object::revision(&change.object),
-            store_revision,
+            store_position,
         };
         let record = if change.removed {
             None
@@ -278,8 +291,8 @@
 }
 
 impl TableInputs {
-    /// Raises the known revision; an older one has no effect.
-    fn advance_revision(&mut self, store_revision: Revision) {
-        self.revision = Some(self.revision.unwrap_or_default().max(store_revision));
+    /// Advances the known position; an older one has no effect.
+    fn advance_position(&mut self, store_position: Position) {
+        self.position = self.position.max(Some(store_position));
     }
 }
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         cookie::{self, Claim, Cookie},
-        list_watch::Revision,
+        position::{Position, Revision},
         table,
         upstream::{LoadCounters, PoolName, Record, Upstream, UpstreamId},
     },
@@ -38,10 +38,19 @@
 /// Revisions by which a change of an entry is ordered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EntryRevision {
-    /// Revision of the entry; a change with a lower one is outdated.
+    /// Revision of the entry; a change with a lower one in the same epoch is outdated.
     pub revision: Revision,
-    /// Revision of the store in the response that contained the change.
-    pub store_revision: Revision,
+    /// Position of the store in the response that contained the change.
+    pub store_position: Position,
+}
+
+impl EntryRevision {
+    fn position(&self) -> Position {
+        Position {
+            epoch: self.store_position.epoch,
+            revision: self.revision,
+        }
+    }
 }
 
 /// Change of the entry of one upstream.
@@ -69,9 +78,9 @@
 pub struct Directory {
     settings: Settings,
     entries: Map<UpstreamId, Entry>,
-    /// Revision of the store up to which removals may be missing: those before the last full list, and those that were
+    /// Position of the store up to which removals may be missing: those before the last full list, and those that were
     /// dropped after their retention.
-    removals_complete_after: Revision,
+    removals_complete_after: Position,
     /// Time of the last call of [`Directory::expire`].
     last_expiry: Duration,
 }
@@ -110,11 +119,11 @@
         self.settings = settings;
     }
 
-    /// Replaces the registered upstreams by a full list, which was read at `store_revision`.
+    /// Replaces the registered upstreams by a full list, which was read at `store_position`.
     pub fn replace(
         &mut self,
         now: Duration,
-        store_revision: Revision,
+        store_position: Position,
         records: Vec<(Revision, Record)>,
     ) {
         let mut listed: Vec<UpstreamId> = records.iter().map(|(_, record)| record.id).collect();
@@ -124,7 +133,7 @@
                 now,
                 EntryRevision {
                     revision,
-                    store_revision,
+                    store_position,
                 },
                 record,
             );
@@ -136,24 +145,24 @@
             .filter(|id| listed.binary_search(id).is_err())
             .collect();
         for id in unlisted {
-            let revision = store_revision;
+            let revision = store_position.revision;
             self.remove(
                 now,
                 EntryRevision {
                     revision,
-                    store_revision,
+                    store_position,
                 },
                 id,
             );
         }
-        self.removals_complete_after = self.removals_complete_after.max(store_revision);
+        self.removals_complete_after = self.removals_complete_after.max(store_position);
         self.expire(now);
     }
 
     /// Adds or changes the entry of an upstream, unless a later change is known.
     pub fn insert(&mut self, now: Duration, entry_revision: EntryRevision, record: Record) {
         let known = self.entries.get(&record.id);
-        if known.is_some_and(|entry| entry.entry_revision.revision > entry_revision.revision) {
+        if known.is_some_and(|entry| entry.entry_revision.position() > entry_revision.position()) {
             return;
         }
         if let Some(entry) = self.entries.get_mut(&record.id)
@@ -186,7 +195,7 @@
     pub fn remove(&mut self, now: Duration, entry_revision: EntryRevision, id: UpstreamId) {
         let entry = self.entries.get_mut(&id);
         if let Some(entry) =
-            entry.filter(|entry| entry.entry_revision.revision <= entry_revision.revision)
+            entry.filter(|entry| entry.entry_revision.position() <= entry_revision.position())
         {
             entry.entry_revision = entry_revision;
             entry.removed_at.get_or_insert(now);
@@ -204,7 +213,7 @@
         let last_expiry = mem::replace(&mut self.last_expiry, now);
         let count_before = self.entries.len();
         let mut has_window_ended = false;
-        let mut dropped_removal = 0;
+        let mut dropped_removal = Position::default();
         self.entries.retain(|_, entry| {
             let Some(removed) = entry.removed_at else {
                 return true;
@@ -212,7 +221,7 @@
             has_window_ended |= (last_expiry..now).contains(&(removed + reregistration_window));
             let is_retained = now < removed + retention;
             if !is_retained {
-                let removal = entry.entry_revision.store_revision;
+                let removal = entry.entry_revision.store_position;
                 dropped_removal = dropped_removal.max(removal);
             }
             is_retained
@@ -221,17 +230,17 @@
         has_window_ended || self.entries.len() != count_before
     }
 
-    /// Returns what a balancer that knows the entries up to a revision of the store lacks.
+    /// Returns what a balancer that knows the entries up to a position of the store lacks.
     ///
-    /// If a removal after that revision may be missing here, the update has all registered entries instead: otherwise
+    /// If a removal after that position may be missing here, the update has all registered entries instead: otherwise
     /// an upstream that has left would be used again.
-    pub fn update_after(&self, after: Revision) -> Update {
+    pub fn update_after(&self, after: Position) -> Update {
         let is_complete = after < self.removals_complete_after;
         let entries = self.entries.iter().filter(|(_, entry)| {
             if is_complete {
                 entry.removed_at.is_none()
             } else {
-                entry.entry_revision.store_revision > after
+                entry.entry_revision.store_position > after
             }
         });
         let change = |(&id, entry): (&UpstreamId, &Entry)| Change {
@@ -245,17 +254,17 @@
         }
     }
 
-    /// Applies the update of another balancer, which has read the store up to `store_revision`.
-    pub fn apply(&mut self, now: Duration, store_revision: Revision, update: Update) {
+    /// Applies the update of another balancer, which has read the store up to `store_position`.
+    pub fn apply(&mut self, now: Duration, store_position: Position, update: Update) {
         if update.is_complete {
             let records = update.changes.into_iter();
             let records = records.filter_map(|change| Some((change.revision, change.record?)));
-            return self.replace(now, store_revision, records.collect());
+            return self.replace(now, store_position, records.collect());
         }
         for change in update.changes {
             let entry_revision = EntryRevision {
                 revision: change.revision,
-                store_revision,
+                store_position,
             };
             match change.record {
                 Some(record) => self.insert(now, entry_revision, record),
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{
-        list_watch::Revision,
+        position::Position,
         table::Version,
         upstream::{UpstreamId, ZoneName},
     },
@@ -126,8 +126,8 @@
 pub struct Freshness {
     /// Version of the configuration.
     pub version: Version,
-    /// Revision of the store up to which the entries of upstreams are known; 0 if none are.
-    pub revision: Revision,
+    /// Position of the store up to which the entries of upstreams are known; the default if none are.
+    pub position: Position,
 }
 
 /// Gossip message of a balancer.
@@ -468,7 +468,7 @@
             return;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let knows_nothing = self.freshness.revision == 0;
+        let knows_nothing = self.freshness.position == Position::default();
         let relies_on_peer = self.role == Role::Follower && is_own_zone;
         let fetch_delay = if self.is_store_unreachable || knows_nothing || relies_on_peer {
             Duration::ZERO
@@ -501,7 +501,7 @@
         };
         let is_ahead = |member: &&Member| {
             member.freshness.version > self.freshness.version
-                || member.freshness.revision > self.freshness.revision
+                || member.freshness.position > self.freshness.position
         };
         let is_own_zone = |member: &Member| member.info.zone == self.local.zone;
         let members = self.members.values().filter(is_recent).filter(is_ahead);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod list_watch;
 pub mod liveness;
 pub mod placement;
+pub mod position;
 pub mod segment;
 pub mod table;
 pub mod tracker;
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -2,18 +2,14 @@
 //! failed calls.
 
 use {
-    crate::gossip::Role,
+    crate::{
+        gossip::Role,
+        position::{Epoch, Position, Revision},
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::time::Duration,
 };
 
-/// Revision of the store; a higher one is newer.
-pub type Revision = u64;
-
-/// Number of a history of the store. It rises when the store is restored from an older copy, which gives revisions out
-/// again.
-pub type Epoch = u64;
-
 /// Settings of a [`ListWatch`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -73,28 +69,30 @@
 pub enum CallOutcome {
     /// One page of a list.
     Page {
-        /// Revision of the store at which the page was read.
-        revision: Revision,
+        /// Position of the store at which the page was read.
+        position: Position,
         /// Name of the last object on the page if another page follows.
         next: Option<String>,
     },
-    /// Changes up to a revision; none if the watch timed out.
+    /// Changes up to a position; none if the watch timed out.
     Changes {
-        /// The revision.
-        revision: Revision,
+        /// The position.
+        position: Position,
     },
-    /// The store has compacted the changes after the requested revision.
+    /// The store does not have the changes after the requested revision.
     Gone,
     /// The call failed or its response was unusable.
     Failed,
 }
 
 impl CallOutcome {
-    /// Returns the revision of the store in the response; 0 if there is none.
-    pub fn revision(&self) -> Revision {
+    /// Returns the position of the store in the response, if there is one.
+    pub fn position(&self) -> Option<Position> {
         match self {
-            CallOutcome::Page { revision, .. } | CallOutcome::Changes { revision } => *revision,
-            CallOutcome::Gone | CallOutcome::Failed => 0,
+            CallOutcome::Page { position, .. } | CallOutcome::Changes { position } => {
+                Some(*position)
+            }
+            CallOutcome::Gone | CallOutcome::Failed => None,
         }
     }
 }
@@ -110,8 +108,8 @@
     Pending,
     /// No tables are to be expected, as this balancer lists the store for its peers.
     Unavailable,
-    /// A peer has sent its tables, which contain all changes up to a revision.
-    Received(Revision),
+    /// A peer has sent its tables, which contain all changes up to a position.
+    Received(Position),
 }
 
 /// What to do with the objects in a response.
@@ -137,8 +135,10 @@
     rng: SmallRng,
     next_call: Call,
     next_call_at: Duration,
-    revision: Option<Revision>,
-    first_page_revision: Option<Revision>,
+    position: Option<Position>,
+    first_page_position: Option<Position>,
+    /// Highest known epoch of the store.
+    epoch: Epoch,
     failures: u32,
     peer_tables: PeerTables,
     role: Role,
@@ -157,8 +157,9 @@
                 is_current: false,
             },
             next_call_at: Duration::ZERO,
-            revision: None,
-            first_page_revision: None,
+            position: None,
+            first_page_position: None,
+            epoch: 0,
             failures: 0,
             peer_tables: PeerTables::default(),
             role: Role::default(),
@@ -171,6 +172,9 @@
     pub fn set_role(&mut self, now: Duration, role: Role) {
         if self.is_paused() && role != Role::Follower {
             self.next_call_at = now;
+            if self.has_other_history() {
+                self.schedule_relist(now);
+            }
         }
         self.role = role;
         if self.is_paused() {
@@ -183,16 +187,39 @@
         self.role == Role::Follower && matches!(self.next_call, Call::Watch { .. })
     }
 
-    /// Moves the next watch of a balancer whose peers have provided all changes up to a revision.
-    pub fn advance(&mut self, known: Revision) {
+    /// Moves the next watch of a balancer whose peers have provided all changes up to a position.
+    pub fn advance(&mut self, known: Position) {
         if let Call::Watch { revision, .. } = &mut self.next_call
-            && *revision < known
+            && self.position < Some(known)
         {
-            *revision = known;
-            self.revision = Some(known);
+            *revision = known.revision;
+            self.position = Some(known);
+        }
+    }
+
+    /// Records the highest known epoch of the store.
+    ///
+    /// A watch that began in an earlier epoch would miss changes, so the objects are listed again; a follower gets them
+    /// from its peers.
+    pub fn observe_epoch(&mut self, now: Duration, epoch: Epoch) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        let is_list_outdated = self
+            .first_page_position
+            .is_some_and(|first| first.epoch < epoch);
+        if is_list_outdated || (self.has_other_history() && !self.is_paused()) {
+            self.schedule_relist(now);
         }
     }
 
+    /// Returns whether the known objects belong to an earlier epoch of the store.
+    fn has_other_history(&self) -> bool {
+        self.position
+            .is_some_and(|position| position.epoch < self.epoch)
+    }
+
     /// Updates whether a peer sends its tables; returns whether the collected pages have to be discarded.
     ///
     /// Tables replace the first list only if they arrive before its end: later ones may lack removals, as the peer
@@ -200,13 +227,13 @@
     pub fn set_peer_tables(&mut self, now: Duration, peer_tables: PeerTables) -> bool {
         self.peer_tables = peer_tables;
         match peer_tables {
-            PeerTables::Received(revision) if self.revision.is_none() => {
-                self.first_page_revision = None;
-                self.schedule_watch(now, revision);
+            PeerTables::Received(position) if self.position.is_none() => {
+                self.first_page_position = None;
+                self.schedule_watch(now, position);
                 true
             }
             PeerTables::Unavailable
-                if self.revision.is_none() && self.first_page_revision.is_some() =>
+                if self.position.is_none() && self.first_page_position.is_some() =>
             {
                 self.next_call_at = self.next_call_at.min(now);
                 false
@@ -233,9 +260,9 @@
         (due, next)
     }
 
-    /// Returns the revision up to which changes are known; `None` before the end of the first list.
-    pub fn revision(&self) -> Option<Revision> {
-        self.revision
+    /// Returns the position up to which changes are known; `None` before the end of the first list.
+    pub fn position(&self) -> Option<Position> {
+        self.position
     }
 
     /// Returns the number of failed calls since the last successful one.
@@ -246,8 +273,8 @@
     /// Handles the outcome of a call and schedules the next one.
     pub fn handle_outcome(&mut self, now: Duration, outcome: CallOutcome) -> ContentAction {
         match outcome {
-            CallOutcome::Page { revision, next } => self.handle_page(now, revision, next),
-            CallOutcome::Changes { revision } => self.handle_changes(now, revision),
+            CallOutcome::Page { position, next } => self.handle_page(now, position, next),
+            CallOutcome::Changes { position } => self.handle_changes(now, position),
             CallOutcome::Gone => self.schedule_relist(now),
             CallOutcome::Failed => {
                 self.schedule_retry(now);
@@ -259,16 +286,20 @@
     fn handle_page(
         &mut self,
         now: Duration,
-        revision: Revision,
+        position: Position,
         next: Option<String>,
     ) -> ContentAction {
         self.failures = 0;
+        self.epoch = self.epoch.max(position.epoch);
         // A watch from the revision of the first page also delivers the changes between two pages.
-        let is_first_page = self.first_page_revision.is_none();
-        let first = *self.first_page_revision.get_or_insert(revision);
+        let is_first_page = self.first_page_position.is_none();
+        let first = *self.first_page_position.get_or_insert(position);
+        if first.epoch != position.epoch {
+            return self.schedule_relist(now);
+        }
         self.next_call_at = now;
         if next.is_some() {
-            if is_first_page && self.revision.is_none() && self.peer_tables == PeerTables::Pending {
+            if is_first_page && self.position.is_none() && self.peer_tables == PeerTables::Pending {
                 self.next_call_at = now + self.settings.peer_tables_timeout;
             }
             let is_current = matches!(
@@ -284,8 +315,8 @@
             };
             return ContentAction::Collect;
         }
-        self.first_page_revision = None;
-        if self.revision.is_some_and(|known| first < known) {
+        self.first_page_position = None;
+        if self.is_outdated(first) {
             // A lagging replica has returned an older state than the known one.
             return self.schedule_relist(now + self.settings.initial_backoff);
         }
@@ -293,20 +324,30 @@
         ContentAction::Replace
     }
 
-    fn handle_changes(&mut self, now: Duration, revision: Revision) -> ContentAction {
+    fn handle_changes(&mut self, now: Duration, position: Position) -> ContentAction {
         self.failures = 0;
-        if self.revision.is_some_and(|known| revision < known) {
+        self.epoch = self.epoch.max(position.epoch);
+        if self.is_outdated(position) {
             return self.schedule_relist(now + self.settings.initial_backoff);
         }
-        self.schedule_watch(now + self.settings.min_watch_interval, revision);
+        if self.has_other_history() {
+            // The store has given out the watched revision a second time, so changes below it are missing.
+            return self.schedule_relist(now);
+        }
+        self.schedule_watch(now + self.settings.min_watch_interval, position);
         ContentAction::Apply
     }
 
-    fn schedule_watch(&mut self, due: Duration, revision: Revision) {
-        self.revision = Some(revision);
+    fn is_outdated(&self, position: Position) -> bool {
+        position.epoch < self.epoch || Some(position) < self.position
+    }
+
+    fn schedule_watch(&mut self, due: Duration, position: Position) {
+        self.position = Some(position);
+        self.epoch = self.epoch.max(position.epoch);
         self.next_call_at = due;
         self.next_call = Call::Watch {
-            revision,
+            revision: position.revision,
             timeout: self.settings.watch_timeout,
         };
     }
@@ -319,7 +360,7 @@
             .min(self.settings.max_backoff);
         self.failures += 1;
         self.next_call_at = now + backoff.mul_f64(self.rng.random_range(0.75..1.25));
-        if self.first_page_revision.take().is_some() {
+        if self.first_page_position.take().is_some() {
             self.next_call = Call::List {
                 after: None,
                 is_current: true,
@@ -328,7 +369,7 @@
     }
 
     fn schedule_relist(&mut self, due: Duration) -> ContentAction {
-        self.first_page_revision = None;
+        self.first_page_position = None;
         self.next_call_at = due;
         self.next_call = Call::List {
             after: None,
--- a/crates/steering/tests/crashed_upstreams.rs
+++ b/crates/steering/tests/crashed_upstreams.rs
@@ -8,7 +8,7 @@
         liveness::ProbeOutcome,
         table::Table,
     },
-    support::{balancer, data, directory, ms, open, record, table, target},
+    support::{at, balancer, data, directory, ms, open, record, table, target},
 };
 
 fn probes(balancer: &mut Balancer) -> Vec<u64> {
@@ -113,7 +113,7 @@
     let mut next = record(2, "a");
     next.address = record(1, "a").address;
     next.pool = "manifests".to_owned();
-    directory.replace(ms(3_000), 9, vec![(8, next)]);
+    directory.replace(ms(3_000), at(9), vec![(8, next)]);
     let after = table(&directory);
     balancer.update_table(ms(3_000), Some(&before), &after);
     let resets = balancer.take_actions().into_iter();
--- a/crates/steering/tests/gossip.rs
+++ b/crates/steering/tests/gossip.rs
@@ -1,11 +1,14 @@
 //! Gossip between balancers, with and without faults, in virtual time.
 
+mod support;
+
 use {
     skylarkflow_steering::{
         gossip::{Action, Freshness, Gossip, PeerInfo, Role, Settings},
         list_watch,
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    support::at,
 };
 
 struct Node {
@@ -164,7 +167,7 @@
         let first = fleet.nodes.values_mut().next().expect("a balancer");
         first.freshness = Freshness {
             version: 5,
-            revision: 50,
+            position: at(50),
         };
         fleet.run(Duration::from_secs(bound));
         let is_everywhere = fleet.nodes.values().all(|node| node.freshness.version == 5);
@@ -231,14 +234,14 @@
         let mut fleet = Fleet::new(count, zones);
         fleet.run(Duration::from_millis(100));
         let listers = fleet.nodes.values_mut().filter(|node| node.lists);
-        let listed = listers.map(|node| node.freshness.revision = 40).count();
+        let listed = listers.map(|node| node.freshness.position = at(40)).count();
         assert_eq!(listed, 2 * zones);
         // After this timeout, every balancer would continue its own list.
         fleet.run(list_watch::Settings::default().peer_tables_timeout);
         let is_everywhere = fleet
             .nodes
             .values()
-            .all(|node| node.freshness.revision == 40);
+            .all(|node| node.freshness.position == at(40));
         assert!(is_everywhere, "{count} balancers");
     }
 }
@@ -253,7 +256,7 @@
     peer.set_registered_peers(Duration::ZERO, vec![peer_info(0, 1)]);
     peer.set_freshness(Freshness {
         version: 5,
-        revision: 50,
+        position: at(50),
     });
     let mut fetches = 0;
     let mut run = |gossip: &mut Gossip, from: u64, to: u64| {
@@ -314,7 +317,7 @@
         .find(|node| node.is_up && node.gossip.is_reader());
     reader.expect("another zone has a reader").freshness = Freshness {
         version: 5,
-        revision: 50,
+        position: at(50),
     };
     // The platform expects a configuration to be active within 5 s in deployments of this size.
     fleet.run(Duration::from_secs(5));
--- a/crates/steering/tests/left_upstream.rs
+++ b/crates/steering/tests/left_upstream.rs
@@ -11,7 +11,7 @@
         upstream::{Record, UpstreamId},
     },
     std::time::Duration,
-    support::{ms, record},
+    support::{at, ms, record},
 };
 
 const STAYS: UpstreamId = 1;
@@ -30,19 +30,19 @@
 fn directory_at(revision: u64, ids: &[UpstreamId]) -> Directory {
     let mut directory = Directory::new(Settings::default());
     let records: Vec<(u64, Record)> = ids.iter().map(|&id| (id, record(id, "a"))).collect();
-    directory.replace(ms(0), revision, records);
+    directory.replace(ms(0), at(revision), records);
     directory
 }
 
 /// Returns the directory of a balancer that was connected all the time.
 fn connected() -> Directory {
     let mut directory = directory_at(OLD, &[STAYS, LEFT]);
-    let at = |revision| EntryRevision {
+    let entry_revision = |revision| EntryRevision {
         revision,
-        store_revision: revision,
+        store_position: at(revision),
     };
-    directory.remove(ms(1_000), at(REMOVAL), LEFT);
-    directory.insert(ms(2_000), at(LATEST), record(ADDED, "a"));
+    directory.remove(ms(1_000), entry_revision(REMOVAL), LEFT);
+    directory.insert(ms(2_000), entry_revision(LATEST), record(ADDED, "a"));
     directory
 }
 
@@ -58,28 +58,37 @@
 
 fn check(case: &str, update: Update) {
     let mut sleeper = directory_at(OLD, &[STAYS, LEFT]);
-    sleeper.apply(ms(100_000), LATEST, update);
+    sleeper.apply(ms(100_000), at(LATEST), update);
     assert_eq!(registered(&sleeper), vec![STAYS, ADDED], "{case}");
 }
 
 #[test]
 fn an_upstream_that_has_left_is_not_used_again() {
-    check("peer that holds the removal", connected().update_after(OLD));
+    check(
+        "peer that holds the removal",
+        connected().update_after(at(OLD)),
+    );
 
     let mut peer = connected();
     peer.expire(after_retention());
-    check("peer that has dropped the removal", peer.update_after(OLD));
+    check(
+        "peer that has dropped the removal",
+        peer.update_after(at(OLD)),
+    );
 
     let peer = directory_at(LATEST, &[STAYS, ADDED]);
-    check("peer that has read a list since", peer.update_after(OLD));
+    check(
+        "peer that has read a list since",
+        peer.update_after(at(OLD)),
+    );
 
     let mut peer = Directory::new(Settings::default());
     let mut source = connected();
     source.expire(after_retention());
-    peer.apply(ms(0), LATEST, source.update_after(0));
+    peer.apply(ms(0), at(LATEST), source.update_after(at(0)));
     check(
         "peer that has taken the tables of another",
-        peer.update_after(OLD),
+        peer.update_after(at(OLD)),
     );
 }
 
@@ -87,15 +96,15 @@
 #[test]
 fn an_older_list_removes_nothing_that_was_registered_later() {
     let mut balancer = connected();
-    let older = directory_at(OLD, &[STAYS, LEFT]).update_after(0);
-    balancer.apply(ms(3_000), OLD, older);
+    let older = directory_at(OLD, &[STAYS, LEFT]).update_after(at(0));
+    balancer.apply(ms(3_000), at(OLD), older);
     assert_eq!(registered(&balancer), vec![STAYS, ADDED]);
 }
 
 /// Guards against updates that grow with the pool although the balancer that asks is only a little behind.
 #[test]
 fn a_balancer_that_is_little_behind_gets_changes_only() {
-    let update = connected().update_after(REMOVAL);
+    let update = connected().update_after(at(REMOVAL));
     assert!(!update.is_complete);
     let ids: Vec<UpstreamId> = update.changes.iter().map(|change| change.id).collect();
     assert_eq!(ids, vec![ADDED]);
--- a/crates/steering/tests/list_watch.rs
+++ b/crates/steering/tests/list_watch.rs
@@ -1,11 +1,14 @@
 //! Reads of the store while it is slow or down, has compacted its history, or serves old data from a replica.
 
+mod support;
+
 use {
     skylarkflow_steering::{
         gossip::Role,
         list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables, Settings},
     },
     std::time::Duration,
+    support::at,
 };
 
 fn list_watch() -> ListWatch {
@@ -14,7 +17,7 @@
 
 fn page(revision: u64, next: Option<&str>) -> CallOutcome {
     CallOutcome::Page {
-        revision,
+        position: at(revision),
         next: next.map(str::to_owned),
     }
 }
@@ -41,7 +44,7 @@
 fn responses_older_than_the_known_revision_are_ignored() {
     let mut list_watch = list_watch();
     list_watch.handle_outcome(Duration::ZERO, page(10, None));
-    let older = CallOutcome::Changes { revision: 8 };
+    let older = CallOutcome::Changes { position: at(8) };
     assert_eq!(
         list_watch.handle_outcome(Duration::ZERO, older),
         ContentAction::Ignore
@@ -98,7 +101,7 @@
     list_watch.handle_outcome(Duration::ZERO, page(10, Some("m")));
     assert_eq!(list_watch.next_call().0, timeout);
     let given = Duration::from_millis(300);
-    assert!(list_watch.set_peer_tables(given, PeerTables::Received(12)));
+    assert!(list_watch.set_peer_tables(given, PeerTables::Received(at(12))));
     let (due, call) = list_watch.next_call();
     assert_eq!(due, given);
     assert!(matches!(call, Call::Watch { revision: 12, .. }), "{call:?}");
@@ -133,7 +136,7 @@
 fn tables_of_a_peer_do_not_replace_a_complete_list() {
     let mut list_watch = list_watch();
     list_watch.handle_outcome(Duration::ZERO, page(10, None));
-    assert!(!list_watch.set_peer_tables(Duration::from_millis(300), PeerTables::Received(12)));
+    assert!(!list_watch.set_peer_tables(Duration::from_millis(300), PeerTables::Received(at(12))));
     let (_, call) = list_watch.next_call();
     assert!(matches!(call, Call::Watch { revision: 10, .. }), "{call:?}");
 }
@@ -171,14 +174,14 @@
     list_watch.handle_outcome(now, page(10, None));
     assert!(list_watch.is_paused());
     assert_eq!(list_watch.next_call().0, Duration::MAX);
-    list_watch.advance(25);
-    list_watch.advance(24);
+    list_watch.advance(at(25));
+    list_watch.advance(at(24));
     let later = Duration::from_secs(90);
     list_watch.set_role(later, Role::Watcher);
     let (due, call) = list_watch.next_call();
     assert_eq!(due, later);
     assert!(matches!(call, Call::Watch { revision: 25, .. }), "{call:?}");
-    let older = CallOutcome::Changes { revision: 24 };
+    let older = CallOutcome::Changes { position: at(24) };
     assert_eq!(
         list_watch.handle_outcome(later, older),
         ContentAction::Ignore
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -7,6 +7,7 @@
     skylarkflow_steering::{
         balancer::{Balancer, Settings, Verdict},
         directory::{self, Directory},
+        position::{Position, Revision},
         segment::{Kind, Segment},
         table::{Config, Route, Routes, Table, Target},
         upstream::{Record, State, Upstream, UpstreamId},
@@ -26,6 +27,11 @@
     Duration::from_millis(millis)
 }
 
+/// Returns the position of a revision in the first epoch of the store.
+pub fn at(revision: Revision) -> Position {
+    Position { epoch: 1, revision }
+}
+
 pub fn service() -> SocketAddr {
     SocketAddr::from(SERVICE)
 }
@@ -46,7 +52,7 @@
 pub fn directory(records: &[Record]) -> Directory {
     let mut directory = Directory::new(directory::Settings::default());
     let records = records.iter().map(|record| (1, record.clone())).collect();
-    directory.replace(Duration::ZERO, 1, records);
+    directory.replace(Duration::ZERO, at(1), records);
     directory
 }
 
--- a/crates/steering/tests/tables.rs
+++ b/crates/steering/tests/tables.rs
@@ -11,13 +11,13 @@
         upstream::{Record, State},
     },
     std::{net::SocketAddr, time::Duration},
-    support::{balancer, config, data, directory, ms, open, record, service, table},
+    support::{at, balancer, config, data, directory, ms, open, record, service, table},
 };
 
 fn entry_revision(revision: u64) -> EntryRevision {
     EntryRevision {
         revision,
-        store_revision: revision,
+        store_position: at(revision),
     }
 }
 
@@ -128,7 +128,7 @@
 fn a_pool_whose_entries_lapse_at_once_is_used_until_they_should_be_registered_again() {
     let records: Vec<Record> = (1..=4).map(|id| record(id, "a")).collect();
     let mut directory = directory(&records);
-    directory.replace(ms(1_000), 5, Vec::new());
+    directory.replace(ms(1_000), at(5), Vec::new());
     let usable = |now: Duration| {
         directory
             .view(now)
@@ -157,7 +157,7 @@
     let mut second = directory(&[record(1, "a"), record(2, "a")]);
     first.insert(ms(1), entry_revision(4), record(3, "b"));
     first.remove(ms(2), entry_revision(6), 1);
-    second.apply(ms(3), 6, first.update_after(1));
+    second.apply(ms(3), at(6), first.update_after(at(1)));
     let ids = |directory: &skylarkflow_steering::directory::Directory| {
         let mut ids: Vec<u64> = directory.registered().map(|record| record.id).collect();
         ids.sort_unstable();
