Write the registration of a balancer again when a restore of the store has lost it

Seen: the entry under which a balancer registers was missing for up to 10 minutes after the store was restored from an older copy, so balancers that started meanwhile did not learn of it from the store.

Cause: the entry is only written when the last write is 10 minutes old, and its absence from a list counted as the lag of a replica. Acknowledged writes were taken to last.

Change: a higher epoch of the store makes each balancer list the entries at once, without replicas, and write its own if it is missing. The epoch of this list is recorded like any other.

--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -19,7 +19,7 @@
     reqwest::Client,
     serde::Deserialize,
     skylarkflow_adapter::{
-        client::Store,
+        client::{Response, Store},
         object::{self, Registration},
     },
     skylarkflow_peer::{report, tables},
@@ -275,8 +275,10 @@
 }
 
 /// Keeps the entry of this balancer at the store fresh and lists the other balancers until the task is aborted.
+///
+/// After a restore of the store, the entry may be missing, so it is looked for at once.
 pub async fn maintain_registration(
-    state: Arc<State>,
+    sources: Arc<TableSources>,
     store: Store,
     local: PeerInfo,
     registered_peers: UnboundedSender<Vec<PeerInfo>>,
@@ -284,29 +286,53 @@
 ) {
     let mut refreshed_at: Option<Duration> = None;
     let mut list_delay = FIRST_LIST_DELAY;
+    let mut epoch = sources.subscribe_epoch();
+    let mut listed_epoch = None;
     loop {
-        let now = state.clock.now();
-        let is_due = refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL);
-        let is_reader = *role.borrow() == Role::Reader;
-        let result =
-            refresh_registration(&state, &store, &local, is_due, &registered_peers, is_reader)
-                .await;
-        match result {
+        let now = sources.state().clock.now();
+        let known_epoch = *epoch.borrow();
+        let is_restored = listed_epoch.is_some_and(|listed| listed < known_epoch);
+        let refresh = Refresh {
+            is_due: is_restored || refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL),
+            requires_latest: is_restored,
+            is_reader: *role.borrow() == Role::Reader,
+        };
+        match refresh_registration(&sources, &store, &local, refresh, &registered_peers).await {
             Ok(is_fresh) => {
                 if is_fresh {
                     refreshed_at = Some(now);
                 }
-                time::sleep(list_delay).await;
-                list_delay = LIST_INTERVAL;
+                // A restore during the list may have removed the entry that the list has shown.
+                let listed = if known_epoch == 0 {
+                    *epoch.borrow()
+                } else {
+                    known_epoch
+                };
+                listed_epoch = Some(listed);
+                tokio::select! {
+                    () = time::sleep(list_delay) => list_delay = LIST_INTERVAL,
+                    Ok(_) = epoch.wait_for(|&known| known > listed) => {}
+                }
             }
             Err(error) => {
-                record_registration_failure(&state, &error);
+                record_registration_failure(sources.state(), &error);
                 time::sleep(RETRY_DELAY).await;
             }
         }
     }
 }
 
+/// How [`refresh_registration`] treats the entries of balancers.
+#[derive(Clone, Copy, Debug)]
+struct Refresh {
+    /// Whether the entry of this balancer is written where it is missing, wrong or old.
+    is_due: bool,
+    /// Whether a replica of the store, which may lag by seconds, must not serve the list.
+    requires_latest: bool,
+    /// Whether this balancer is a reader, which removes entries that are no longer refreshed.
+    is_reader: bool,
+}
+
 fn record_registration_failure(state: &State, error: &skylarkflow_store::Error) {
     state.metrics.count(Counter::StoreFailures);
     state.event_log.record_limited(
@@ -316,16 +342,16 @@
     );
 }
 
-/// Lists the balancers and, if `is_due` is set, writes the entry of this one where it is missing, wrong or old; returns
-/// whether the entry is fresh. A reader also removes the entries of balancers that have stopped refreshing them.
+/// Lists the balancers and, if it is due, writes the entry of this one; returns whether the entry is fresh. A reader also
+/// removes the entries of balancers that have stopped refreshing them.
 async fn refresh_registration(
-    state: &State,
+    sources: &TableSources,
     store: &Store,
     local: &PeerInfo,
-    is_due: bool,
+    refresh: Refresh,
     registered_peers: &UnboundedSender<Vec<PeerInfo>>,
-    is_reader: bool,
 ) -> Result<bool, skylarkflow_store::Error> {
+    let state = sources.state();
     let now_unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
     let mut others = Vec::new();
     let mut is_listed = false;
@@ -333,10 +359,10 @@
     let mut after: Option<String> = None;
     loop {
         state.metrics.count(Counter::StoreCalls);
-        let page = store
-            .list(object::BALANCERS, after.as_deref(), false)
-            .await?
-            .body;
+        let Response { epoch, body: page } = store
+            .list(object::BALANCERS, after.as_deref(), refresh.requires_latest)
+            .await?;
+        sources.observe_epoch(epoch.unwrap_or_default());
         for item in &page.items {
             let name = object::name(item);
             let Ok(entry) = object::decode_registration(item) else {
@@ -353,7 +379,7 @@
                     zone: entry.zone,
                     address: entry.address,
                 });
-            } else if is_reader {
+            } else if refresh.is_reader {
                 state.metrics.count(Counter::StoreCalls);
                 store
                     .remove(object::BALANCERS, name, object::revision(item))
@@ -367,7 +393,7 @@
     }
     // Sending only fails when the receiver was dropped because the process is exiting.
     let _ = registered_peers.send(others);
-    if is_registered || !is_due {
+    if is_registered || !refresh.is_due {
         return Ok(is_registered);
     }
     let entry = Registration {
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -186,7 +186,7 @@
         }
         self.store_tasks
             .push(tokio::spawn(steer_peers::maintain_registration(
-                Arc::clone(state),
+                Arc::clone(&self.sources),
                 store,
                 self.settings.peer_info(),
                 self.registered_peers.clone(),
