Keep what upstreams wrote last when a restored store has older entries

Callers saw: after the store was restored from an older copy, flows were opened at an upstream that had left or was draining before, and upstreams that had registered since got no new flows until they registered again.

Cause: the first list of the restored store replaced the directory as if it were newer in every entry. Its position is later, but its entries are the older ones, for about two seconds or three heartbeats.

Change: across a restore, two entries of an upstream are ordered by its own start and heartbeat instead of the store's revision. An entry that the store has lost is kept for the time in which live upstreams register again; one that had been removed is left unused for the time in which the store removes it again, unless its pool would lose most of its upstreams. Peers get what the store has. Heartbeats travel in a new field of the tables, which balancers of earlier versions ignore. E5119 names the number of such entries.

Before: an_upstream_that_left_before_a_restore_gets_no_new_flows and an_upstream_whose_entry_a_restore_has_lost_keeps_getting_new_flows (real processes) fail with the answer of the wrong upstream; now they pass.

--- a/crates/peer/src/tables.rs
+++ b/crates/peer/src/tables.rs
@@ -9,7 +9,7 @@
         table::{Config, Route, Target},
         upstream::{Record, State},
     },
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, iter, net::SocketAddr, time::Duration},
 };
 
 /// Configuration and upstream changes that a peer lacks.
@@ -37,6 +37,9 @@
     /// Epoch of the revisions. Absent in messages of older versions.
     #[serde(default)]
     epoch: Epoch,
+    /// Heartbeat of the record in each change, 0 where there is none. Absent in messages of older versions.
+    #[serde(default)]
+    heartbeats: Vec<u64>,
 }
 
 /// Names of pools and zones, which records refer to by index.
@@ -75,6 +78,9 @@
 impl From<Tables> for TablesWire {
     fn from(tables: Tables) -> TablesWire {
         let mut names = StringTable::default();
+        let heartbeat = |change: &Change| change.record.as_ref().map(|record| record.heartbeat);
+        let heartbeats = tables.upstreams.changes.iter().map(heartbeat);
+        let heartbeats = heartbeats.map(Option::unwrap_or_default).collect();
         let changes = tables.upstreams.changes.into_iter().map(|change| {
             let record = change
                 .record
@@ -89,6 +95,7 @@
             changes,
             complete: tables.upstreams.is_complete,
             epoch: tables.position.epoch,
+            heartbeats,
         }
     }
 }
@@ -98,8 +105,10 @@
 
     fn try_from(wire: TablesWire) -> Result<Tables> {
         let names = wire.names;
-        let changes = wire.changes.into_iter().map(|(id, revision, record)| {
-            let record = record.map(|record| record.into_record(&names, id));
+        let heartbeats = wire.heartbeats.into_iter().chain(iter::repeat(0));
+        let changes = wire.changes.into_iter().zip(heartbeats);
+        let changes = changes.map(|((id, revision, record), heartbeat)| {
+            let record = record.map(|record| record.into_record(&names, id, heartbeat));
             Ok(Change {
                 id,
                 revision,
@@ -166,7 +175,7 @@
 }
 
 impl RecordWire {
-    fn into_record(self, names: &StringTable, id: u64) -> Result<Record> {
+    fn into_record(self, names: &StringTable, id: u64, heartbeat: u64) -> Result<Record> {
         let RecordWire(pool, address, zone, slots, is_draining, warmup_ms, started_unix_ms) = self;
         Ok(Record {
             id,
@@ -181,6 +190,7 @@
             },
             warmup: Duration::from_millis(warmup_ms),
             started_unix_ms,
+            heartbeat,
         })
     }
 }
--- a/crates/peer/tests/tables.rs
+++ b/crates/peer/tests/tables.rs
@@ -25,6 +25,7 @@
         },
         warmup: Duration::from_millis(1_500),
         started_unix_ms: 1_790_000_000_000 + id,
+        heartbeat: 100 + id,
     };
     Change {
         id,
--- a/crates/skylarkflow/src/bench_steer.rs
+++ b/crates/skylarkflow/src/bench_steer.rs
@@ -84,6 +84,7 @@
         state: UpstreamState::Ready,
         warmup: Duration::ZERO,
         started_unix_ms: 1,
+        heartbeat: 1,
     };
     let records = (0..upstreams).map(|index| (1, record(index))).collect();
     directory.replace(Duration::ZERO, Position::default(), records);
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -114,6 +114,8 @@
     5117 STORE_RESTORED Warn "store"
         "The store was restored from an older copy: its epoch has risen, and it gives revisions out again.";
     5118 STORE_RESPONSE Debug "store" "The store has responded to a list or a watch.";
+    5119 UPSTREAMS_CONTRADICTED Warn "upstream"
+        "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -196,6 +196,9 @@
                 let mut inputs = self.inputs();
                 inputs.directory.replace(now, store_position, records);
                 inputs.advance_position(store_position);
+                let contradicted = inputs.directory.contradicted_count();
+                drop(inputs);
+                self.record_contradictions(contradicted);
             }
         }
         self.publish_table();
@@ -280,6 +283,14 @@
         }
     }
 
+    fn record_contradictions(&self, count: usize) {
+        if count > 0 {
+            let text = format_args!("{count} entries");
+            let event_log = &self.state.event_log;
+            event_log.record(&event::UPSTREAMS_CONTRADICTED, text);
+        }
+    }
+
     fn record_malformed(&self, malformed: &object::Malformed) {
         self.state.metrics.count(Counter::ObjectsMalformed);
         self.state.event_log.record_limited(
--- a/crates/skylarkflow/tests/restored_store.rs
+++ b/crates/skylarkflow/tests/restored_store.rs
@@ -5,17 +5,19 @@
 
 use {
     skylarkflow_adapter_emulator::{
+        caller::{Caller, Outcome},
         objects::UpstreamEntry,
         store::{Fault, Snapshot},
         upstream::Upstream,
     },
     std::{
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        ops::Range,
         time::{Duration, Instant},
     },
     support::steering::{
         POOL, SERVICE, Site, TIMEOUT, new_caller, ready_entry, start_site, wait_for_answer,
-        wait_for_answer_of,
+        wait_for_answer_of, wait_for_event,
     },
     tokio::{runtime::Runtime, time},
 };
@@ -29,6 +31,9 @@
 /// Number of changes that are lost, so that revisions of the restored store stay lower for long.
 const LOST_CHANGES: u64 = 40;
 
+/// Time within which live upstreams have registered again after a restore, as the platform states it.
+const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
+
 fn configure(site: &Site, version: u64, services: &[SocketAddrV4]) {
     let routes: Vec<_> = services.iter().map(|&service| (service, POOL)).collect();
     site.store.configure(version, &routes);
@@ -103,31 +108,102 @@
         let draining = ready_entry(site.upstream.address);
         // The entry is known with a revision that the store gives out again.
         site.store.register(7, &draining);
-        let address = SocketAddr::from((Ipv4Addr::new(127, 56, 0, 9), 0));
-        let other = Upstream::start(8, address, site.port).await;
-        let other = other.expect("another upstream");
         site.store.restore(copy);
         let draining = UpstreamEntry {
             is_draining: true,
             ..draining
         };
         site.store.register(7, &draining);
-        site.store.register(8, &ready_entry(other.address));
+        let _other = add_upstream(&site, 56).await;
         write_other_entries(&site, 2 * LOST_CHANGES);
-        let start = Instant::now();
-        let mut consecutive = 0;
-        for port in 2_100.. {
-            let is_other = wait_for_answer(&site, &caller, port).await == 8;
-            consecutive = if is_other { consecutive + 1 } else { 0 };
-            if consecutive == 20 {
-                break;
-            }
-            assert!(
-                start.elapsed() < TIMEOUT,
-                "the draining upstream still gets new flows after {TIMEOUT:?}"
-            );
-            time::sleep(Duration::from_millis(20)).await;
+        wait_until_only(&site, &caller, 2_100..4_000, 8).await;
+    });
+}
+
+/// Starts an upstream with the identifier 8 and registers it.
+async fn add_upstream(site: &Site, net: u8) -> Upstream {
+    let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 9), 0));
+    let added = Upstream::start(8, address, site.port).await;
+    let added = added.expect("another upstream");
+    site.store.register(8, &ready_entry(added.address));
+    added
+}
+
+/// Waits until the last flows were all answered by an upstream.
+async fn wait_until_only(site: &Site, caller: &Caller, ports: Range<u16>, upstream: u64) {
+    let start = Instant::now();
+    let mut consecutive = 0;
+    for port in ports {
+        let is_expected = wait_for_answer(site, caller, port).await == upstream;
+        consecutive = if is_expected { consecutive + 1 } else { 0 };
+        if consecutive == 20 {
+            return;
+        }
+        assert!(
+            start.elapsed() < TIMEOUT,
+            "other upstreams still get new flows after {TIMEOUT:?}"
+        );
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("other upstreams still get new flows");
+}
+
+/// Restores the store and checks that all flows which are opened before upstreams have to be registered again are
+/// answered by `upstream`.
+async fn assert_only_after_restore(
+    site: &Site,
+    caller: &Caller,
+    ports: Range<u16>,
+    copy: Snapshot,
+    upstream: u64,
+) {
+    let restored_at = Instant::now();
+    site.store.restore(copy);
+    wait_for_event(site, "E5117").await;
+    for port in ports {
+        let flow = caller.open(port, SERVICE, || site.address).await;
+        // Later, the entries of the restored store are used whatever was known before.
+        if restored_at.elapsed() > REREGISTRATION_TIME {
+            break;
         }
+        let outcome = match flow {
+            Ok(mut flow) => caller.request(&mut flow, b"hello", || site.address).await,
+            Err(outcome) => outcome,
+        };
+        assert_eq!(outcome, Outcome::Answered(upstream), "port {port}");
+    }
+}
+
+#[test]
+fn an_upstream_that_left_before_a_restore_gets_no_new_flows() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(58).await;
+        let caller = new_caller(&site, 58).await;
+        let _left = add_upstream(&site, 58).await;
+        while wait_for_answer(&site, &caller, 2_000).await != 8 {}
+        let copy = site.store.snapshot();
+        site.store.unregister(8);
+        wait_until_only(&site, &caller, 2_100..3_000, 7).await;
+        assert_only_after_restore(&site, &caller, 3_000..3_040, copy, 7).await;
+    });
+}
+
+#[test]
+fn an_upstream_whose_entry_a_restore_has_lost_keeps_getting_new_flows() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(59).await;
+        let caller = new_caller(&site, 59).await;
+        assert_eq!(wait_for_answer(&site, &caller, 2_000).await, 7);
+        let copy = site.store.snapshot();
+        let _added = add_upstream(&site, 59).await;
+        let draining = UpstreamEntry {
+            is_draining: true,
+            ..ready_entry(site.upstream.address)
+        };
+        site.store.register(7, &draining);
+        wait_until_only(&site, &caller, 2_100..3_000, 8).await;
+        // The copy has no entry of the added upstream, and an old one of the upstream that drains.
+        assert_only_after_restore(&site, &caller, 3_000..3_040, copy, 8).await;
     });
 }
 
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -23,6 +23,9 @@
     /// Time for which a pool that has lost more than half of its entries is used as before: entries that lapsed while
     /// the store was unavailable are registered again within about two seconds of its recovery.
     pub reregistration_window: Duration,
+    /// Time after a restore of the store within which it removes entries of upstreams that have left, which is three
+    /// heartbeats.
+    pub cleanup_window: Duration,
 }
 
 impl Default for Settings {
@@ -31,6 +34,7 @@
             // Age at which a flow may be discarded.
             retention: Duration::from_secs(60),
             reregistration_window: Duration::from_millis(2_200),
+            cleanup_window: Duration::from_secs(4),
         }
     }
 }
@@ -91,9 +95,40 @@
     entry_revision: EntryRevision,
     warmup_end: Duration,
     removed_at: Option<Duration>,
+    /// Time since which the store, restored from an older copy, contradicts the state that is known from before: it
+    /// lacks a registered entry, or has a removed one. The upstream has some time to confirm either.
+    contradicted_since: Option<Duration>,
     load_counters: Arc<LoadCounters>,
 }
 
+impl Entry {
+    /// Returns whether the store has the entry, as far as is known.
+    fn is_stored(&self) -> bool {
+        self.removed_at.is_none() != self.contradicted_since.is_some()
+    }
+
+    /// Adopts the state of the store if the upstream has not confirmed the one from before a restore in time; returns
+    /// whether the time has passed.
+    fn resolve_contradiction(&mut self, now: Duration, settings: &Settings) -> bool {
+        let Some(since) = self.contradicted_since else {
+            return false;
+        };
+        let window = match self.removed_at {
+            None => settings.reregistration_window,
+            Some(_) => settings.cleanup_window,
+        };
+        if now < since + window {
+            return false;
+        }
+        self.contradicted_since = None;
+        self.removed_at = match self.removed_at {
+            None => Some(since),
+            Some(_) => None,
+        };
+        true
+    }
+}
+
 /// Upstreams as a [`table::Table`] holds them.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -145,33 +180,60 @@
             .filter(|id| listed.binary_search(id).is_err())
             .collect();
         for id in unlisted {
-            let revision = store_position.revision;
-            self.remove(
-                now,
-                EntryRevision {
-                    revision,
-                    store_position,
-                },
-                id,
-            );
+            let entry_revision = EntryRevision {
+                revision: store_position.revision,
+                store_position,
+            };
+            if !self.keep_lost_entry(now, entry_revision, id) {
+                self.remove(now, entry_revision, id);
+            }
         }
         self.removals_complete_after = self.removals_complete_after.max(store_position);
         self.expire(now);
     }
 
+    /// Keeps an entry that a restored store has lost, as its upstream registers itself again if it is alive; returns
+    /// whether it is kept.
+    fn keep_lost_entry(
+        &mut self,
+        now: Duration,
+        entry_revision: EntryRevision,
+        id: UpstreamId,
+    ) -> bool {
+        let Some(entry) = self
+            .entries
+            .get_mut(&id)
+            .filter(|entry| entry.removed_at.is_none())
+        else {
+            return false;
+        };
+        if entry.entry_revision.store_position.epoch < entry_revision.store_position.epoch {
+            entry.entry_revision = entry_revision;
+            entry.contradicted_since = Some(now);
+        }
+        entry.contradicted_since.is_some()
+    }
+
     /// Adds or changes the entry of an upstream, unless a later change is known.
     pub fn insert(&mut self, now: Duration, entry_revision: EntryRevision, record: Record) {
-        let known = self.entries.get(&record.id);
-        if known.is_some_and(|entry| entry.entry_revision.position() > entry_revision.position()) {
-            return;
-        }
-        if let Some(entry) = self.entries.get_mut(&record.id)
-            && entry.record == record
-            && entry.removed_at.is_none()
-        {
-            // An unchanged entry that is read again does not restart the warm-up.
-            entry.entry_revision = entry_revision;
-            return;
+        if let Some(entry) = self.entries.get_mut(&record.id) {
+            let (known, new) = (entry.entry_revision.position(), entry_revision.position());
+            if known >= new {
+                return;
+            }
+            if known.epoch < new.epoch && record.is_no_newer_than(&entry.record) {
+                // A restored store has an entry that its upstream has replaced or removed since.
+                entry.entry_revision = entry_revision;
+                entry.contradicted_since = entry.removed_at.map(|_| now);
+                return;
+            }
+            if entry.removed_at.is_none() && !record.has_changed_from(&entry.record) {
+                // An unchanged entry that is read again does not restart the warm-up.
+                entry.entry_revision = entry_revision;
+                entry.record.heartbeat = record.heartbeat;
+                entry.contradicted_since = None;
+                return;
+            }
         }
         let warmup_end = now.saturating_add(record.warmup);
         let load_counters = match self.entries.get(&record.id) {
@@ -186,6 +248,7 @@
             entry_revision,
             warmup_end,
             removed_at: None,
+            contradicted_since: None,
             load_counters,
         };
         self.entries.insert(id, entry);
@@ -198,6 +261,7 @@
             entry.filter(|entry| entry.entry_revision.position() <= entry_revision.position())
         {
             entry.entry_revision = entry_revision;
+            entry.contradicted_since = None;
             entry.removed_at.get_or_insert(now);
         }
     }
@@ -206,16 +270,22 @@
     ///
     /// Returns whether the view has changed by the passage of time since the last call.
     pub fn expire(&mut self, now: Duration) -> bool {
+        let settings = self.settings;
         let Settings {
             retention,
             reregistration_window,
-        } = self.settings;
+            ..
+        } = settings;
         let last_expiry = mem::replace(&mut self.last_expiry, now);
         let count_before = self.entries.len();
         let mut has_window_ended = false;
         let mut dropped_removal = Position::default();
         self.entries.retain(|_, entry| {
-            let Some(removed) = entry.removed_at else {
+            has_window_ended |= entry.resolve_contradiction(now, &settings);
+            let Some(removed) = entry
+                .removed_at
+                .filter(|_| entry.contradicted_since.is_none())
+            else {
                 return true;
             };
             has_window_ended |= (last_expiry..now).contains(&(removed + reregistration_window));
@@ -238,7 +308,7 @@
         let is_complete = after < self.removals_complete_after;
         let entries = self.entries.iter().filter(|(_, entry)| {
             if is_complete {
-                entry.removed_at.is_none()
+                entry.is_stored()
             } else {
                 entry.entry_revision.store_position > after
             }
@@ -246,7 +316,7 @@
         let change = |(&id, entry): (&UpstreamId, &Entry)| Change {
             id,
             revision: entry.entry_revision.revision,
-            record: entry.removed_at.is_none().then(|| entry.record.clone()),
+            record: entry.is_stored().then(|| entry.record.clone()),
         };
         Update {
             changes: entries.map(change).collect(),
@@ -273,6 +343,14 @@
         }
     }
 
+    /// Returns the number of entries in which the store, restored from an older copy, contradicts what is known.
+    pub fn contradicted_count(&self) -> usize {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.contradicted_since.is_some())
+            .count()
+    }
+
     /// Returns the entries of the registered upstreams.
     pub fn registered(&self) -> impl Iterator<Item = &Record> {
         let registered = self
@@ -306,7 +384,10 @@
             }
             match entry.removed_at {
                 None => registered.push(upstream),
-                Some(removed) if now < removed + self.settings.reregistration_window => {
+                Some(removed)
+                    if entry.contradicted_since.is_some()
+                        || now < removed + self.settings.reregistration_window =>
+                {
                     lapsed.push(upstream)
                 }
                 Some(_) => {}
--- a/crates/steering/src/upstream.rs
+++ b/crates/steering/src/upstream.rs
@@ -49,6 +49,27 @@
     pub warmup: Duration,
     /// Start of its process in Unix milliseconds.
     pub started_unix_ms: u64,
+    /// Number of the heartbeat since then with which it wrote the entry; 0 if it is not known.
+    pub heartbeat: u64,
+}
+
+impl Record {
+    /// Returns whether the upstream wrote this entry before another one, or both are the same.
+    ///
+    /// In contrast to revisions, this holds across a restore of the store.
+    pub fn is_no_newer_than(&self, other: &Record) -> bool {
+        let order = |record: &Record| (record.started_unix_ms, record.heartbeat);
+        self.heartbeat > 0 && (order(self) < order(other) || self == other)
+    }
+
+    /// Returns whether an entry differs from another one by more than the heartbeat.
+    pub fn has_changed_from(&self, other: &Record) -> bool {
+        let heartbeat = other.heartbeat;
+        Record {
+            heartbeat,
+            ..self.clone()
+        } != *other
+    }
 }
 
 /// Load of an upstream, in flows and requests.
--- a/crates/steering/tests/restored_store.rs
+++ b/crates/steering/tests/restored_store.rs
@@ -11,7 +11,7 @@
         position::{Epoch, Position, Revision},
         upstream::{Record, State, UpstreamId},
     },
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
     support::{at, ms, record},
 };
 
@@ -203,3 +203,125 @@
         vec![(UPSTREAM, State::Draining), (OTHER, State::Ready)]
     );
 }
+
+/// Returns the pool of new flows, as identifiers.
+fn pool(directory: &Directory, now: Duration) -> Vec<UpstreamId> {
+    let view = directory.view(now);
+    let pool = view.pools.get("dispatch").into_iter().flatten();
+    let mut ids: Vec<UpstreamId> = pool.map(|upstream| upstream.record.id).collect();
+    ids.sort_unstable();
+    ids
+}
+
+const RESTORED_AT: Duration = Duration::from_secs(10);
+
+/// Returns a directory whose last three changes a restore has undone: one upstream drains, one has left and one was
+/// added.
+fn directory_after_restore() -> Directory {
+    let mut directory = directory_at(at(40), &[(30, entry(DRAINS)), (31, entry(LEFT))]);
+    directory.insert(ms(1_000), entry_revision(1, 41), later(draining(DRAINS)));
+    directory.remove(ms(2_000), entry_revision(1, 42), LEFT);
+    directory.insert(ms(3_000), entry_revision(1, 43), entry(ADDED));
+    let copy = vec![(30, entry(DRAINS)), (31, entry(LEFT))];
+    directory.replace(RESTORED_AT, restored(40), copy);
+    directory
+}
+
+const DRAINS: UpstreamId = 1;
+const LEFT: UpstreamId = 2;
+const ADDED: UpstreamId = 3;
+
+/// Returns the entry as a later heartbeat writes it.
+fn later(record: Record) -> Record {
+    Record {
+        heartbeat: record.heartbeat + 1,
+        ..record
+    }
+}
+
+#[test]
+fn a_restored_store_does_not_undo_what_upstreams_wrote_later() {
+    let directory = directory_after_restore();
+    assert_eq!(pool(&directory, RESTORED_AT), vec![ADDED]);
+    assert_eq!(
+        registered(&directory),
+        vec![(DRAINS, State::Draining), (ADDED, State::Ready)]
+    );
+}
+
+#[test]
+fn upstreams_that_register_again_after_a_restore_are_used() {
+    let mut directory = directory_after_restore();
+    directory.insert(RESTORED_AT, entry_revision(2, 41), later(entry(LEFT)));
+    directory.insert(RESTORED_AT, entry_revision(2, 42), later(entry(ADDED)));
+    for after in [0, 2_200, 4_000, 60_000] {
+        let now = RESTORED_AT + ms(after);
+        directory.expire(now);
+        assert_eq!(pool(&directory, now), vec![LEFT, ADDED], "{after} ms");
+    }
+}
+
+/// Guards against an upstream that has ended and is used for ever because nothing removes it again.
+#[test]
+fn an_entry_that_a_restore_has_lost_is_dropped_if_its_upstream_does_not_register_again() {
+    let mut directory = directory_after_restore();
+    let end = RESTORED_AT + Settings::default().reregistration_window;
+    directory.insert(RESTORED_AT, entry_revision(2, 41), later(entry(LEFT)));
+    assert!(!directory.expire(end - ms(1)));
+    assert_eq!(pool(&directory, end - ms(1)), vec![LEFT, ADDED]);
+    assert!(directory.expire(end));
+    assert_eq!(pool(&directory, end), vec![LEFT]);
+}
+
+/// Guards against an upstream that is alive and stays unused because its entry is unchanged, which causes no event.
+#[test]
+fn an_entry_that_the_restored_store_keeps_is_used_in_the_end() {
+    let mut directory = directory_after_restore();
+    directory.insert(RESTORED_AT, entry_revision(2, 41), later(entry(ADDED)));
+    let end = RESTORED_AT + Settings::default().cleanup_window;
+    directory.expire(end - ms(1));
+    assert_eq!(pool(&directory, end - ms(1)), vec![ADDED]);
+    assert!(directory.expire(end));
+    assert_eq!(pool(&directory, end), vec![LEFT, ADDED]);
+}
+
+#[test]
+fn an_upstream_that_left_before_a_restore_stays_removed_when_the_store_removes_it_again() {
+    let mut directory = directory_after_restore();
+    directory.insert(RESTORED_AT, entry_revision(2, 41), later(entry(ADDED)));
+    directory.remove(RESTORED_AT + ms(3_000), entry_revision(2, 42), LEFT);
+    let now = RESTORED_AT + ms(10_000);
+    directory.expire(now);
+    assert_eq!(pool(&directory, now), vec![ADDED]);
+}
+
+/// Guards against a second list in the same epoch that ends the time which upstreams have to register again.
+#[test]
+fn a_second_list_of_the_restored_store_changes_nothing() {
+    let mut directory = directory_after_restore();
+    let copy = vec![(30, entry(DRAINS)), (31, entry(LEFT))];
+    directory.replace(RESTORED_AT + ms(500), restored(40), copy);
+    assert_eq!(pool(&directory, RESTORED_AT + ms(500)), vec![ADDED]);
+}
+
+/// Guards against a guess of one balancer that others take for the state of the store: nothing would correct it there.
+#[test]
+fn peers_get_the_entries_that_the_restored_store_has() {
+    let update = directory_after_restore().update_after(at(43));
+    assert!(update.is_complete);
+    let mut ids: Vec<UpstreamId> = update.changes.iter().map(|change| change.id).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, vec![DRAINS, LEFT]);
+}
+
+/// Guards against a pool without upstreams when nearly all entries had lapsed before the restore.
+#[test]
+fn a_pool_that_lost_most_of_its_entries_before_a_restore_is_used_as_stored() {
+    let entries: Vec<(Revision, Record)> = (1..=4).map(|id| (id, entry(id))).collect();
+    let mut directory = directory_at(at(40), &entries);
+    for id in 1..=3 {
+        directory.remove(ms(1_000), entry_revision(1, 40 + id), id);
+    }
+    directory.replace(RESTORED_AT, restored(40), entries);
+    assert_eq!(pool(&directory, RESTORED_AT), vec![1, 2, 3, 4]);
+}
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -46,6 +46,7 @@
         state: State::Ready,
         warmup: Duration::ZERO,
         started_unix_ms: 1,
+        heartbeat: 1,
     }
 }
 
