List the platform's objects after a failed watch on the CoAP path

A watch goes on from the known revision although the store has given it out again; that the revision is lower is only noticed if it still is when the watch succeeds.

Change: a watch that fails is followed by a list, as a restore always interrupts the watches. The store of this path names no epoch, so a restore that interrupts no call would still wait for the regular list.

--- a/crates/policy/src/config_reader.rs
+++ b/crates/policy/src/config_reader.rs
@@ -130,7 +130,6 @@
     /// Start time of each pending call.
     pending: Map<CallKind, Duration>,
     next_list: Duration,
-    next_watch: Duration,
     next_vms: Duration,
     failures: u32,
     calls: u64,
@@ -147,7 +146,6 @@
             revision: None,
             pending: Map::default(),
             next_list: Duration::ZERO,
-            next_watch: Duration::ZERO,
             next_vms: Duration::ZERO,
             failures: 0,
             calls: 0,
@@ -206,10 +204,7 @@
                 last_heard + PEER_SILENCE_TIMEOUT.mul_f64(self.rng.random_range(1.0..2.0));
             self.revision = None;
         }
-        if let Some(after) = self
-            .revision
-            .filter(|_| is_reading && now >= self.next_watch)
-        {
+        if let Some(after) = self.revision.filter(|_| is_reading) {
             self.start_call(now, CallKind::Watch, Call::Watch { after }, actions);
         }
     }
@@ -302,7 +297,11 @@
         match kind {
             // A write without an answer may have taken effect, so the store is listed again.
             CallKind::List | CallKind::Put => self.next_list = now + wait,
-            CallKind::Watch => self.next_watch = now + wait,
+            // The store may have been restored meanwhile and have given out the watched revision again.
+            CallKind::Watch => {
+                self.revision = None;
+                self.next_list = now + wait;
+            }
             CallKind::Vms => self.next_vms = now + wait,
         }
     }
