--- a/crates/skylarkflow/src/soak.rs
+++ b/crates/skylarkflow/src/soak.rs
@@ -45,6 +45,9 @@
     /// number of callers
     #[argh(option, default = "8")]
     callers: usize,
+    /// also restore the store from older copies of itself
+    #[argh(switch)]
+    restores: bool,
     /// folder for settings and logs, which are kept; by default one in the temporary folder
     #[argh(option)]
     folder: Option<PathBuf>,
@@ -140,7 +143,14 @@
             })
             .collect();
         let fault_duration = Duration::from_secs(self.seconds);
-        soak_faults::inject(&mut site, self.seed, fault_duration, &results).await?;
+        soak_faults::inject(
+            &mut site,
+            self.seed,
+            fault_duration,
+            self.restores,
+            &results,
+        )
+        .await?;
         site.clear_faults();
         if site.wait_ready(RECOVERY_LIMIT).await.is_err() {
             report_violation(
@@ -164,7 +174,7 @@
             );
         }
         if !has_violations(&results) {
-            soak_faults::check_time_limits(&mut site, &results).await;
+            soak_faults::check_time_limits(&mut site, self.restores, &results).await;
         }
         for caller in callers {
             caller.abort();
--- a/crates/skylarkflow/src/soak_faults.rs
+++ b/crates/skylarkflow/src/soak_faults.rs
@@ -24,6 +24,9 @@
 /// Longest time until a new version of the configuration is active at every balancer.
 const CONFIG_LIMIT: Duration = Duration::from_secs(3);
 
+/// Number of changes that a restore of the store loses, more than are made soon after it.
+const LOST_CHANGES: usize = 50;
+
 /// Share of the callers' datagrams that is lost while faults are injected.
 const LOSS_PER_MILLE: u32 = 10;
 
@@ -36,7 +39,8 @@
 /// Number of upstreams up to which none is drained or killed.
 const MIN_UPSTREAMS: usize = 3;
 
-/// Injects random faults for `fault_duration` or until a guarantee is violated.
+/// Injects random faults for `fault_duration` or until a guarantee is violated; `with_restores` adds restores of the
+/// store from an older copy.
 ///
 /// # Errors
 ///
@@ -45,8 +49,11 @@
     site: &mut Site,
     seed: u64,
     fault_duration: Duration,
+    with_restores: bool,
     results: &SharedResults,
 ) -> io::Result<()> {
+    // Restores come last, so that a seed without them draws the faults that it always drew.
+    let kinds = if with_restores { 15 } else { 13 };
     let mut rng = SmallRng::seed_from_u64(seed);
     let view = site.view();
     let address = SocketAddrV4::new(loopback(31, 0), view.port);
@@ -56,7 +63,7 @@
         .set_faults(LOSS_PER_MILLE, DUPLICATION_PER_MILLE);
     let mut port = 1_024;
     while Instant::now() < end && !soak::has_violations(results) {
-        match rng.random_range(0..13) {
+        match rng.random_range(0..kinds) {
             0 | 1 => inject_store_fault(site, &mut rng),
             2 => kill_balancers(site, &mut rng)?,
             3 => pause_balancer(site, &mut rng)?,
@@ -65,6 +72,8 @@
             7 => site.store.compact(),
             8 => restart_without_store(site, &mut rng)?,
             9 | 10 => inject_store_connection_fault(site, &mut rng),
+            13 => site.copy_store(),
+            14 => restore_store(site, &mut rng).await,
             _ => {
                 port += 1;
                 change_config_and_check(site, &caller, port, results).await;
@@ -90,6 +99,18 @@
         .set_fault(*faults.choose(rng).unwrap_or(&Fault::None));
 }
 
+/// Restores the store from its last copy after a short outage; what was written since is written again after a while.
+async fn restore_store(site: &mut Site, rng: &mut SmallRng) {
+    site.record_disturbance();
+    site.store.set_fault(Fault::Refuse);
+    time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    site.restore_store();
+    site.store.set_fault(Fault::None);
+    time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    site.rewrite_store();
+    site.record_disturbance();
+}
+
 /// Injects one fault into the connections between the store and a random half of the balancers.
 fn inject_store_connection_fault(site: &mut Site, rng: &mut SmallRng) {
     site.record_disturbance();
@@ -163,8 +184,9 @@
 }
 
 /// Checks the limits that are rarely checked between faults: a configuration becomes active at every balancer in
-/// time, also at one that gets no responses from the store, and a draining upstream gets no new flows.
-pub async fn check_time_limits(site: &mut Site, results: &SharedResults) {
+/// time, also at one that gets no responses from the store and, `with_restores`, after the store was restored, and a
+/// draining upstream gets no new flows.
+pub async fn check_time_limits(site: &mut Site, with_restores: bool, results: &SharedResults) {
     let view = site.view();
     let address = SocketAddrV4::new(loopback(31, 1), view.port);
     let caller = match Caller::new(address).await {
@@ -179,12 +201,29 @@
     site.set_proxy_mode(0, Mode::DropResponses);
     change_config_and_check(site, &caller, 18, results).await;
     site.set_proxy_mode(0, Mode::Pass);
+    if with_restores {
+        lose_changes(site).await;
+        change_config_and_check(site, &caller, 19, results).await;
+    }
     if let Some(&id) = site.upstream_ids().first() {
         site.drain_upstream(id);
     }
     time::sleep(DRAIN_LIMIT + DRAIN_OBSERVATION).await;
 }
 
+/// Restores the store to the state before some changes that all balancers have adopted, and waits until they have read
+/// it.
+async fn lose_changes(site: &mut Site) {
+    site.copy_store();
+    for _ in 0..LOST_CHANGES {
+        site.write_next_config();
+    }
+    time::sleep(CONFIG_LIMIT).await;
+    site.restore_store();
+    site.rewrite_store();
+    time::sleep(CONFIG_LIMIT).await;
+}
+
 /// Changes the configuration and checks that it is active at every balancer in time, unless there was a recent fault.
 async fn change_config_and_check(
     site: &mut Site,
--- a/crates/skylarkflow/src/soak_site.rs
+++ b/crates/skylarkflow/src/soak_site.rs
@@ -9,7 +9,7 @@
         caller::Network,
         objects::UpstreamEntry,
         proxy::{Mode, Proxy},
-        store::{Fault, Store},
+        store::{Fault, Snapshot, Store},
         upstream::Upstream,
     },
     skylarkflow_steering::cookie::{self, Cookie},
@@ -78,6 +78,8 @@
     folder: PathBuf,
     /// Emulated store.
     pub store: Store,
+    /// Copy of the store from which it can be restored.
+    store_copy: Option<Snapshot>,
     /// A proxy between each balancer and the store.
     proxies: Vec<Proxy>,
     processes: Vec<Option<BalancerProcess>>,
@@ -163,6 +165,7 @@
             program,
             folder,
             store,
+            store_copy: None,
             proxies,
             processes: (0..balancers).map(|_| None).collect(),
             upstreams: BTreeMap::new(),
@@ -204,11 +207,39 @@
     /// Writes the next version of the configuration; every second one has the route to [`OPTIONAL_SERVICE`].
     pub fn write_next_config(&mut self) {
         self.version += 1;
+        self.configure();
+    }
+
+    fn configure(&self) {
         let routes = [(SERVICE, POOL), (OPTIONAL_SERVICE, POOL)];
         let count = 1 + (self.version % 2) as usize;
         self.store.configure(self.version, &routes[..count]);
     }
 
+    /// Copies the store, for a later [`Site::restore_store`].
+    pub fn copy_store(&mut self) {
+        self.store_copy = Some(self.store.snapshot());
+    }
+
+    /// Restores the store from its last copy, if there is one.
+    pub fn restore_store(&mut self) {
+        if let Some(copy) = self.store_copy.take() {
+            self.store.restore(copy);
+        }
+    }
+
+    /// Writes again what the operator and the upstreams have written last, and removes the entries of other upstreams.
+    pub fn rewrite_store(&mut self) {
+        self.configure();
+        for (&id, upstream) in &self.upstreams {
+            let is_draining = self.view.drain_start(id).is_some();
+            let entry = upstream_entry(id, upstream.address, is_draining);
+            self.store.register(id, &entry);
+        }
+        let ended = (1..self.next_upstream).filter(|id| !self.upstreams.contains_key(id));
+        ended.for_each(|id| self.store.unregister(id));
+    }
+
     /// Returns whether the version in the store has the route to [`OPTIONAL_SERVICE`].
     pub fn has_optional_route(&self) -> bool {
         self.version % 2 == 1
