Let the upstream that started last hold an address that two have registered

Cause: when an upstream takes over the address of one that fell silent, both entries exist until the store removes the older one.

Change: among the entries at one address, the one whose process started last holds it. Why some balancers did not restore such an upstream when the older entry was removed is not traced.

--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -393,7 +393,10 @@
                 Some(_) => {}
             }
         }
-        registered.sort_unstable_by_key(|upstream| upstream.record.id);
+        // The entry of the former upstream at an address may outlast the registration of the next one, which then holds
+        // the address.
+        registered
+            .sort_unstable_by_key(|upstream| (upstream.record.started_unix_ms, upstream.record.id));
         let address = |upstream: &Arc<Upstream>| (upstream.record.address, upstream.record.id);
         let addresses: Map<SocketAddr, UpstreamId> = registered.iter().map(address).collect();
         lapsed.retain(|upstream| !addresses.contains_key(&upstream.record.address));
