Ignore entries older than a full list that did not have them

Cause: a starting balancer took complete tables of a peer at revision 256, which hold no removals, and then the response to its own first list, from a replica at an older revision. That list registered the former upstream of an address again. Its removal lay before revision 256 and is sent to nobody who is past it, so a follower kept the entry for good, the living upstream at the address counted as replaced with every new table, and packets of its flows were reset.

Change: the directory knows the position of its last full list. An entry that is not known and whose revision lies before it was removed by then, whatever list, change or peer brings it.

Before: two new tests of left_upstream fail (the upstream is registered), now they pass. The data of an earlier case gave the added entry a revision before the list that lacks it, which a store cannot do; it has the revision of its addition now, and the case checks the same.

--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -234,6 +234,9 @@
                 entry.contradicted_since = None;
                 return;
             }
+        } else if entry_revision.position() < self.removals_complete_after {
+            // A full list after this change did not have the entry, so it was removed, which may not be known any more.
+            return;
         }
         let warmup_end = now.saturating_add(record.warmup);
         let load_counters = match self.entries.get(&record.id) {
--- a/crates/steering/tests/left_upstream.rs
+++ b/crates/steering/tests/left_upstream.rs
@@ -29,7 +29,9 @@
 
 fn directory_at(revision: u64, ids: &[UpstreamId]) -> Directory {
     let mut directory = Directory::new(Settings::default());
-    let records: Vec<(u64, Record)> = ids.iter().map(|&id| (id, record(id, "a"))).collect();
+    let entry_revision = |id| if id == ADDED { LATEST } else { id };
+    let records = ids.iter().map(|&id| (entry_revision(id), record(id, "a")));
+    let records: Vec<(u64, Record)> = records.collect();
     directory.replace(ms(0), at(revision), records);
     directory
 }
@@ -109,3 +111,27 @@
     let ids: Vec<UpstreamId> = update.changes.iter().map(|change| change.id).collect();
     assert_eq!(ids, vec![ADDED]);
 }
+
+/// Guards against the list of a lagging replica that arrives after the tables of a peer: they hold no removals, so
+/// nothing would remove the upstream again.
+#[test]
+fn an_older_list_after_complete_tables_does_not_register_an_upstream_that_has_left() {
+    let mut started = Directory::new(Settings::default());
+    started.apply(ms(0), at(LATEST), connected().update_after(at(0)));
+    let lagging = vec![(STAYS, record(STAYS, "a")), (LEFT, record(LEFT, "a"))];
+    started.replace(ms(100), at(OLD), lagging);
+    assert_eq!(registered(&started), vec![STAYS, ADDED]);
+}
+
+/// Guards against the same upstream in a change that a lagging replica reports.
+#[test]
+fn an_older_change_after_complete_tables_does_not_register_an_upstream_that_has_left() {
+    let mut started = Directory::new(Settings::default());
+    started.apply(ms(0), at(LATEST), connected().update_after(at(0)));
+    let older = EntryRevision {
+        revision: OLD,
+        store_position: at(OLD),
+    };
+    started.insert(ms(100), older, record(LEFT, "a"));
+    assert_eq!(registered(&started), vec![STAYS, ADDED]);
+}
