--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -211,9 +211,9 @@
 ) -> Option<Position> {
     let Freshness { version, position } = freshness;
     let Position { epoch, revision } = position;
-    let url = format!(
-        "http://{address}{TABLES_PATH}?version={version}&epoch={epoch}&revision={revision}"
-    );
+    let url = format!("http://{address}{TABLES_PATH}?version={version}&revision={revision}");
+    // Balancers of earlier versions, which know no epochs, ignore the last parameter.
+    let url = format!("{url}&epoch={epoch}");
     let state = sources.state();
     match fetch_tables(&client, url).await {
         Ok(tables) => {
@@ -246,10 +246,10 @@
 #[derive(Deserialize)]
 struct TablesQuery {
     version: Version,
-    /// Absent in requests of older versions.
+    revision: Revision,
+    /// Absent in requests of earlier versions.
     #[serde(default)]
     epoch: Epoch,
-    revision: Revision,
 }
 
 /// Returns the router of the HTTP server for other balancers.
--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -4,7 +4,10 @@
 mod support;
 
 use {
+    axum::{extract::Query, http::Uri},
+    serde::Deserialize,
     skylarkflow_adapter_emulator::{caller::Outcome, store::Store, upstream::Upstream},
+    skylarkflow_peer::tables,
     std::{
         fs,
         net::{Ipv4Addr, SocketAddr, UdpSocket},
@@ -98,6 +101,33 @@
     });
 }
 
+#[derive(Deserialize)]
+struct EarlierTablesQuery {
+    version: u64,
+    revision: u64,
+}
+
+/// Guards against balancers that get no tables from each other while a release is rolled out: those of earlier versions
+/// neither send nor know the epoch of the store.
+#[test]
+fn tables_are_exchanged_across_versions() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let site = start_site(60).await;
+        let caller = new_caller(&site, 60).await;
+        assert_eq!(wait_for_answer(&site, &caller, 2_000).await, 7);
+        let peers = SocketAddr::new(site.address.ip(), site.port - 1);
+        let earlier = format!("http://{peers}/tables?version=0&revision=0");
+        let response = reqwest::get(earlier).await.expect("a response");
+        let bytes = response.bytes().await.expect("a body");
+        let tables = tables::from_slice(&bytes).expect("tables");
+        assert_eq!(tables.config.expect("a configuration").version, 1);
+        assert_eq!(tables.upstreams.changes.len(), 1);
+    });
+    let current = Uri::from_static("http://10.0.0.1/tables?version=3&revision=7&epoch=2");
+    let Query(read) = Query::<EarlierTablesQuery>::try_from_uri(&current).expect("a query");
+    assert_eq!((read.version, read.revision), (3, 7));
+}
+
 /// Guards against a check that accepts invalid settings or only reports the first of several findings.
 #[test]
 fn every_finding_in_the_settings_is_reported() {
