Give the state of one upstream's entry a module of its own

Entry has them now, as one method for each of a registration, a removal, a list without the entry and the end of the time in which a contradiction may be resolved. Behaviour is unchanged; all tests of skylarkflow-steering pass.

--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -7,14 +7,17 @@
 use {
     crate::{
         cookie::{self, Claim, Cookie},
+        directory_entry::Entry,
         position::{Position, Revision},
         table,
-        upstream::{LoadCounters, PoolName, Record, Upstream, UpstreamId},
+        upstream::{PoolName, Record, Upstream, UpstreamId},
     },
-    skylarkflow_policy::id::Map,
+    skylarkflow_policy::id::{Map, Set},
     std::{mem, net::SocketAddr, sync::Arc, time::Duration},
 };
 
+pub use crate::directory_entry::EntryRevision;
+
 /// Settings of a [`Directory`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -39,24 +42,6 @@
     }
 }
 
-/// Revisions by which a change of an entry is ordered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct EntryRevision {
-    /// Revision of the entry; a change with a lower one in the same epoch is outdated.
-    pub revision: Revision,
-    /// Position of the store in the response that contained the change.
-    pub store_position: Position,
-}
-
-impl EntryRevision {
-    fn position(&self) -> Position {
-        Position {
-            epoch: self.store_position.epoch,
-            revision: self.revision,
-        }
-    }
-}
-
 /// Change of the entry of one upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
@@ -89,46 +74,6 @@
     last_expiry: Duration,
 }
 
-#[derive(Debug)]
-struct Entry {
-    record: Record,
-    entry_revision: EntryRevision,
-    warmup_end: Duration,
-    removed_at: Option<Duration>,
-    /// Time since which the store, restored from an older copy, contradicts the state that is known from before: it
-    /// lacks a registered entry, or has a removed one. The upstream has some time to confirm either.
-    contradicted_since: Option<Duration>,
-    load_counters: Arc<LoadCounters>,
-}
-
-impl Entry {
-    /// Returns whether the store has the entry, as far as is known.
-    fn is_stored(&self) -> bool {
-        self.removed_at.is_none() != self.contradicted_since.is_some()
-    }
-
-    /// Adopts the state of the store if the upstream has not confirmed the one from before a restore in time; returns
-    /// whether the time has passed.
-    fn resolve_contradiction(&mut self, now: Duration, settings: &Settings) -> bool {
-        let Some(since) = self.contradicted_since else {
-            return false;
-        };
-        let window = match self.removed_at {
-            None => settings.reregistration_window,
-            Some(_) => settings.cleanup_window,
-        };
-        if now < since + window {
-            return false;
-        }
-        self.contradicted_since = None;
-        self.removed_at = match self.removed_at {
-            None => Some(since),
-            Some(_) => None,
-        };
-        true
-    }
-}
-
 /// Upstreams as a [`table::Table`] holds them.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -161,111 +106,40 @@
         store_position: Position,
         records: Vec<(Revision, Record)>,
     ) {
-        let mut listed: Vec<UpstreamId> = records.iter().map(|(_, record)| record.id).collect();
-        listed.sort_unstable();
+        let listed: Set<UpstreamId> = records.iter().map(|(_, record)| record.id).collect();
+        let entry_revision = |revision| EntryRevision {
+            revision,
+            store_position,
+        };
         for (revision, record) in records {
-            self.insert(
-                now,
-                EntryRevision {
-                    revision,
-                    store_position,
-                },
-                record,
-            );
+            self.insert(now, entry_revision(revision), record);
         }
-        let unlisted: Vec<UpstreamId> = self
-            .entries
-            .keys()
-            .copied()
-            .filter(|id| listed.binary_search(id).is_err())
-            .collect();
-        for id in unlisted {
-            let entry_revision = EntryRevision {
-                revision: store_position.revision,
-                store_position,
-            };
-            if !self.keep_lost_entry(now, entry_revision, id) {
-                self.remove(now, entry_revision, id);
-            }
+        let unlisted = self.entries.iter_mut();
+        for (_, entry) in unlisted.filter(|(id, _)| !listed.contains(id)) {
+            entry.handle_absence(now, entry_revision(store_position.revision));
         }
         self.removals_complete_after = self.removals_complete_after.max(store_position);
         self.expire(now);
     }
 
-    /// Keeps an entry that a restored store has lost, as its upstream registers itself again if it is alive; returns
-    /// whether it is kept.
-    fn keep_lost_entry(
-        &mut self,
-        now: Duration,
-        entry_revision: EntryRevision,
-        id: UpstreamId,
-    ) -> bool {
-        let Some(entry) = self
-            .entries
-            .get_mut(&id)
-            .filter(|entry| entry.removed_at.is_none())
-        else {
-            return false;
-        };
-        if entry.entry_revision.store_position.epoch < entry_revision.store_position.epoch {
-            entry.entry_revision = entry_revision;
-            entry.contradicted_since = Some(now);
-        }
-        entry.contradicted_since.is_some()
-    }
-
     /// Adds or changes the entry of an upstream, unless a later change is known.
     pub fn insert(&mut self, now: Duration, entry_revision: EntryRevision, record: Record) {
-        if let Some(entry) = self.entries.get_mut(&record.id) {
-            let (known, new) = (entry.entry_revision.position(), entry_revision.position());
-            if known >= new {
-                return;
-            }
-            if known.epoch < new.epoch && record.is_no_newer_than(&entry.record) {
-                // A restored store has an entry that its upstream has replaced or removed since.
-                entry.entry_revision = entry_revision;
-                entry.contradicted_since = entry.removed_at.map(|_| now);
-                return;
-            }
-            if entry.removed_at.is_none() && !record.has_changed_from(&entry.record) {
-                // An unchanged entry that is read again does not restart the warm-up.
-                entry.entry_revision = entry_revision;
-                entry.record.heartbeat = record.heartbeat;
-                entry.contradicted_since = None;
-                return;
-            }
-        } else if entry_revision.position() < self.removals_complete_after {
+        match self.entries.get_mut(&record.id) {
+            Some(entry) => entry.update(now, entry_revision, record),
             // A full list after this change did not have the entry, so it was removed, which may not be known any more.
-            return;
-        }
-        let warmup_end = now.saturating_add(record.warmup);
-        let load_counters = match self.entries.get(&record.id) {
-            Some(entry) if entry.record.started_unix_ms == record.started_unix_ms => {
-                Arc::clone(&entry.load_counters)
+            None if entry_revision.position() < self.removals_complete_after => {}
+            None => {
+                let id = record.id;
+                self.entries
+                    .insert(id, Entry::new(now, entry_revision, record));
             }
-            _ => Arc::default(),
-        };
-        let id = record.id;
-        let entry = Entry {
-            record,
-            entry_revision,
-            warmup_end,
-            removed_at: None,
-            contradicted_since: None,
-            load_counters,
-        };
-        self.entries.insert(id, entry);
+        }
     }
 
     /// Removes the entry of an upstream, unless a later change is known.
     pub fn remove(&mut self, now: Duration, entry_revision: EntryRevision, id: UpstreamId) {
-        let entry = self.entries.get_mut(&id);
-        if let Some(entry) =
-            entry.filter(|entry| entry.entry_revision.position() <= entry_revision.position())
-        {
-            entry.entry_revision = entry_revision;
-            entry.contradicted_since = None;
-            entry.removed_at.get_or_insert(now);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.remove(now, entry_revision);
         }
     }
 
@@ -274,28 +148,20 @@
     /// Returns whether the view has changed by the passage of time since the last call.
     pub fn expire(&mut self, now: Duration) -> bool {
         let settings = self.settings;
-        let Settings {
-            retention,
-            reregistration_window,
-            ..
-        } = settings;
         let last_expiry = mem::replace(&mut self.last_expiry, now);
         let count_before = self.entries.len();
         let mut has_window_ended = false;
         let mut dropped_removal = Position::default();
         self.entries.retain(|_, entry| {
             has_window_ended |= entry.resolve_contradiction(now, &settings);
-            let Some(removed) = entry
-                .removed_at
-                .filter(|_| entry.contradicted_since.is_none())
-            else {
+            let Some(removed) = entry.settled_removal() else {
                 return true;
             };
-            has_window_ended |= (last_expiry..now).contains(&(removed + reregistration_window));
-            let is_retained = now < removed + retention;
+            let window_end = removed + settings.reregistration_window;
+            has_window_ended |= (last_expiry..now).contains(&window_end);
+            let is_retained = now < removed + settings.retention;
             if !is_retained {
-                let removal = entry.entry_revision.store_position;
-                dropped_removal = dropped_removal.max(removal);
+                dropped_removal = dropped_removal.max(entry.entry_revision.store_position);
             }
             is_retained
         });
@@ -349,9 +215,7 @@
     /// Returns the number of entries in which the store, restored from an older copy, contradicts what is known.
     pub fn contradicted_count(&self) -> usize {
         let entries = self.entries.values();
-        entries
-            .filter(|entry| entry.contradicted_since.is_some())
-            .count()
+        entries.filter(|entry| entry.is_contradicted()).count()
     }
 
     /// Returns the entries of the registered upstreams.
@@ -385,15 +249,10 @@
             if let Some(cookie) = cookie {
                 cookies.insert(cookie, Arc::clone(&upstream));
             }
-            match entry.removed_at {
-                None => registered.push(upstream),
-                Some(removed)
-                    if entry.contradicted_since.is_some()
-                        || now < removed + self.settings.reregistration_window =>
-                {
-                    lapsed.push(upstream)
-                }
-                Some(_) => {}
+            if entry.removed_at.is_none() {
+                registered.push(upstream);
+            } else if entry.may_return(now, &self.settings) {
+                lapsed.push(upstream);
             }
         }
         // The entry of the former upstream at an address may outlast the registration of the next one, which then holds
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balancer;
 pub mod cookie;
 pub mod directory;
+mod directory_entry;
 pub mod fault_injection;
 pub mod gossip;
 pub mod lifecycle;
