--- a/crates/skylarkflow/src/lib.rs
+++ b/crates/skylarkflow/src/lib.rs
@@ -63,6 +63,7 @@
 mod steer_latency;
 mod steer_peers;
 mod steer_probe;
+mod steer_registration;
 pub mod steer_settings;
 mod steer_sources;
 mod steer_state;
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -17,6 +17,7 @@
         list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables},
         position::{Epoch, Position},
     },
+    skylarkflow_store::Result,
     std::sync::Arc,
     tokio::{sync::watch, time},
 };
@@ -28,79 +29,157 @@
     None,
 }
 
-/// Lists and watches one kind of object and applies the results to `sources` until the task is aborted.
+/// What an [`ObjectSync`] works with.
+pub struct Inputs {
+    /// Tables to which the objects are applied.
+    pub sources: Arc<TableSources>,
+    /// The store.
+    pub store: Store,
+    /// Kind of the objects.
+    pub kind: ObjectKind,
+    /// Schedule of the calls.
+    pub list_watch: ListWatch,
+    /// Role of this balancer.
+    pub role: watch::Receiver<Role>,
+    /// Whether a peer provides its tables instead of the first list.
+    pub peer_tables: watch::Receiver<PeerTables>,
+}
+
+/// Lists and watches one kind of object and applies the results to the tables.
 ///
 /// Watches may be served by a lagging replica of the store, unless this balancer is a reader. A follower makes none.
-pub async fn sync_objects(
-    sources: Arc<TableSources>,
-    store: Store,
-    kind: ObjectKind,
-    mut list_watch: ListWatch,
-    mut role: watch::Receiver<Role>,
-    mut peer_tables: watch::Receiver<PeerTables>,
-) {
-    let state = Arc::clone(sources.state());
-    let clock = state.clock;
-    let mut epoch = sources.subscribe_epoch();
-    let mut listed_items: Vec<Value> = Vec::new();
-    loop {
-        if list_watch.set_peer_tables(clock.now(), *peer_tables.borrow_and_update()) {
-            listed_items.clear();
+pub struct ObjectSync {
+    inputs: Inputs,
+    state: Arc<State>,
+    /// Highest known epoch of the store.
+    epoch: watch::Receiver<Epoch>,
+    /// Objects on the pages of a list that is not complete yet.
+    listed_items: Vec<Value>,
+}
+
+impl ObjectSync {
+    /// Creates the task of one kind of object.
+    pub fn new(inputs: Inputs) -> ObjectSync {
+        ObjectSync {
+            state: Arc::clone(inputs.sources.state()),
+            epoch: inputs.sources.subscribe_epoch(),
+            listed_items: Vec::new(),
+            inputs,
         }
-        let current_role = *role.borrow_and_update();
-        if list_watch.is_paused() && kind == ObjectKind::Upstreams {
+    }
+
+    /// Runs until the task is aborted.
+    pub async fn run(mut self) {
+        loop {
+            self.update_list_watch();
+            if !self.wait_until_due().await {
+                continue;
+            }
+            self.state.metrics.count(Counter::StoreCalls);
+            let (_, call) = self.inputs.list_watch.next_call();
+            if let Some(result) = self.call(&call).await {
+                self.handle_result(&call, result);
+            }
+        }
+    }
+
+    /// Passes on what has changed outside since the last call.
+    fn update_list_watch(&mut self) {
+        let Inputs {
+            sources,
+            kind,
+            list_watch,
+            role,
+            peer_tables,
+            ..
+        } = &mut self.inputs;
+        let now = self.state.clock.now();
+        if list_watch.set_peer_tables(now, *peer_tables.borrow_and_update()) {
+            self.listed_items.clear();
+        }
+        if list_watch.is_paused() && *kind == ObjectKind::Upstreams {
             // The configuration has no revision of its own in the tables of peers, so its watch is not moved.
             list_watch.advance(sources.freshness().position);
         }
-        let known_epoch = *epoch.borrow_and_update();
-        list_watch.observe_epoch(clock.now(), known_epoch);
-        list_watch.set_role(clock.now(), current_role);
+        list_watch.observe_epoch(now, *self.epoch.borrow_and_update());
+        list_watch.set_role(now, *role.borrow_and_update());
         if list_watch.is_paused() {
-            state.set_store_unreachable(kind, false);
+            self.state.set_store_unreachable(*kind, false);
+        }
+    }
+
+    /// Waits for the next call; returns `false` if something has changed on which it depends.
+    async fn wait_until_due(&mut self) -> bool {
+        let (due, _) = self.inputs.list_watch.next_call();
+        let delay = due.saturating_sub(self.state.clock.now());
+        tokio::select! {
+            () = time::sleep(delay) => true,
+            Ok(()) = self.inputs.peer_tables.changed() => false,
+            Ok(()) = self.inputs.role.changed() => false,
+            Ok(()) = self.epoch.changed() => false,
         }
-        let (due, _) = list_watch.next_call();
+    }
+
+    /// Makes a call; `None` if another one has to replace it.
+    ///
+    /// A pending call is replaced when the role changes or the store was restored.
+    async fn call(&mut self, call: &Call) -> Option<Result<(CallOutcome, ResponseContent)>> {
+        let Inputs {
+            store, kind, role, ..
+        } = &mut self.inputs;
+        let requires_latest = *role.borrow() == Role::Reader;
+        let known_epoch = *self.epoch.borrow();
+        let response = call_store(store, *kind, call, requires_latest, known_epoch);
         tokio::select! {
-            () = time::sleep(due.saturating_sub(clock.now())) => {}
-            Ok(()) = peer_tables.changed() => continue,
-            Ok(()) = role.changed() => continue,
-            Ok(()) = epoch.changed() => continue,
+            result = response => Some(result),
+            Ok(()) = role.changed() => None,
+            Ok(()) = self.epoch.changed() => None,
         }
-        state.metrics.count(Counter::StoreCalls);
-        let requires_latest = current_role == Role::Reader;
-        let (_, call) = list_watch.next_call();
-        let result = tokio::select! {
-            result = call_store(&store, kind, &call, requires_latest, known_epoch) => result,
-            // The pending watch is replaced by one that suits the new role, or by a list of the restored store.
-            Ok(()) = role.changed() => continue,
-            Ok(()) = epoch.changed() => continue,
-        };
+    }
+
+    fn handle_result(&mut self, call: &Call, result: Result<(CallOutcome, ResponseContent)>) {
+        let Inputs {
+            sources,
+            kind,
+            list_watch,
+            ..
+        } = &mut self.inputs;
         let failures_before = list_watch.failures();
-        let (outcome, content) = classify_result(&state, kind, result);
+        let (outcome, content) = classify_result(&self.state, *kind, result);
         let store_position = outcome.position();
         if let Some(position) = store_position {
-            record_response(&sources, kind, &call, position);
+            record_response(sources, *kind, call, position);
         }
         let known_position = list_watch.position();
-        let action = list_watch.handle_outcome(clock.now(), outcome);
+        let action = list_watch.handle_outcome(self.state.clock.now(), outcome);
         if action == ContentAction::Ignore && store_position.is_some() {
-            record_outdated_response(&state, kind, store_position, known_position);
+            record_outdated_response(&self.state, *kind, store_position, known_position);
         }
-        record_store_health(&state, kind, failures_before, &list_watch);
+        record_store_health(&self.state, *kind, failures_before, list_watch);
+        self.apply(action, store_position.unwrap_or_default(), content);
+    }
+
+    fn apply(&mut self, action: ContentAction, position: Position, content: ResponseContent) {
+        let Inputs {
+            sources,
+            kind,
+            list_watch,
+            ..
+        } = &self.inputs;
         match (action, content) {
-            (ContentAction::Collect, ResponseContent::Page(items)) => listed_items.extend(items),
+            (ContentAction::Collect, ResponseContent::Page(items)) => {
+                self.listed_items.extend(items)
+            }
             (ContentAction::Replace, ResponseContent::Page(items)) => {
-                listed_items.extend(items);
-                sources.replace_all(
-                    kind,
-                    list_watch.position().unwrap_or_default(),
-                    &listed_items,
-                );
-                listed_items.clear();
+                self.listed_items.extend(items);
+                let list_position = list_watch.position().unwrap_or_default();
+                sources.replace_all(*kind, list_position, &self.listed_items);
+                self.listed_items.clear();
             }
             (ContentAction::Apply, ResponseContent::Changes(changes)) => {
-                sources.apply_changes(kind, store_position.unwrap_or_default(), &changes)
+                sources.apply_changes(*kind, position, &changes)
             }
-            _ => listed_items.clear(),
+            _ => self.listed_items.clear(),
         }
     }
 }
@@ -111,7 +190,7 @@
     call: &Call,
     requires_latest: bool,
     known_epoch: Epoch,
-) -> Result<(CallOutcome, ResponseContent), skylarkflow_store::Error> {
+) -> Result<(CallOutcome, ResponseContent)> {
     let name = match kind {
         ObjectKind::Config => object::CONFIG,
         ObjectKind::Upstreams => object::UPSTREAMS,
@@ -151,7 +230,7 @@
 fn classify_result(
     state: &State,
     kind: ObjectKind,
-    result: Result<(CallOutcome, ResponseContent), skylarkflow_store::Error>,
+    result: Result<(CallOutcome, ResponseContent)>,
 ) -> (CallOutcome, ResponseContent) {
     match result {
         Ok(outcome) => outcome,
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -1,4 +1,4 @@
-//! Communication between steering balancers: gossip reports over UDP, tables over HTTP, registration at the store.
+//! Communication between steering balancers: gossip reports over UDP and tables over HTTP.
 
 use {
     crate::{
@@ -18,10 +18,6 @@
     crossbeam::channel::Sender,
     reqwest::Client,
     serde::Deserialize,
-    skylarkflow_adapter::{
-        client::{Response, Store},
-        object::{self, Registration},
-    },
     skylarkflow_peer::{report, tables},
     skylarkflow_steering::{
         gossip::{self, Action, Freshness, Gossip, PeerInfo, Report, Role},
@@ -30,15 +26,11 @@
         table::Version,
         upstream::UpstreamId,
     },
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, SystemTime},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::UdpSocket,
         sync::{
-            mpsc::{self, UnboundedReceiver, UnboundedSender},
+            mpsc::{self, UnboundedReceiver},
             watch,
         },
         time,
@@ -54,21 +46,6 @@
 /// Interval at which due reports and elections are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time from the registration to the next list of balancers, which finds those that have started at the same time.
-const FIRST_LIST_DELAY: Duration = Duration::from_secs(3);
-
-/// Interval between later lists of balancers.
-const LIST_INTERVAL: Duration = Duration::from_secs(30);
-
-/// Age at which a balancer refreshes its entry.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(600);
-
-/// Age at which a reader removes the entry of another balancer, which has missed three refreshes by then.
-const ENTRY_MAX_AGE: Duration = Duration::from_secs(1_800);
-
-/// Delay before a failed registration is retried.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// The gossip task's ends of the channels to other tasks and threads.
 pub struct Channels {
     /// Upstreams that the packet thread has found to have ended.
@@ -273,138 +250,3 @@
     });
     tables::to_vec(tables).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
-
-/// Keeps the entry of this balancer at the store fresh and lists the other balancers until the task is aborted.
-///
-/// After a restore of the store, the entry may be missing, so it is looked for at once.
-pub async fn maintain_registration(
-    sources: Arc<TableSources>,
-    store: Store,
-    local: PeerInfo,
-    registered_peers: UnboundedSender<Vec<PeerInfo>>,
-    role: watch::Receiver<Role>,
-) {
-    let mut refreshed_at: Option<Duration> = None;
-    let mut list_delay = FIRST_LIST_DELAY;
-    let mut epoch = sources.subscribe_epoch();
-    let mut listed_epoch = None;
-    loop {
-        let now = sources.state().clock.now();
-        let known_epoch = *epoch.borrow();
-        let is_restored = listed_epoch.is_some_and(|listed| listed < known_epoch);
-        let refresh = Refresh {
-            is_due: is_restored || refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL),
-            requires_latest: is_restored,
-            is_reader: *role.borrow() == Role::Reader,
-        };
-        match refresh_registration(&sources, &store, &local, refresh, &registered_peers).await {
-            Ok(is_fresh) => {
-                if is_fresh {
-                    refreshed_at = Some(now);
-                }
-                // A restore during the list may have removed the entry that the list has shown.
-                let listed = if known_epoch == 0 {
-                    *epoch.borrow()
-                } else {
-                    known_epoch
-                };
-                listed_epoch = Some(listed);
-                tokio::select! {
-                    () = time::sleep(list_delay) => list_delay = LIST_INTERVAL,
-                    Ok(_) = epoch.wait_for(|&known| known > listed) => {}
-                }
-            }
-            Err(error) => {
-                record_registration_failure(sources.state(), &error);
-                time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// How [`refresh_registration`] treats the entries of balancers.
-#[derive(Clone, Copy, Debug)]
-struct Refresh {
-    /// Whether the entry of this balancer is written where it is missing, wrong or old.
-    is_due: bool,
-    /// Whether a replica of the store, which may lag by seconds, must not serve the list.
-    requires_latest: bool,
-    /// Whether this balancer is a reader, which removes entries that are no longer refreshed.
-    is_reader: bool,
-}
-
-fn record_registration_failure(state: &State, error: &skylarkflow_store::Error) {
-    state.metrics.count(Counter::StoreFailures);
-    state.event_log.record_limited(
-        state.clock.now(),
-        &event::STORE_LOST,
-        format_args!("registration: {error}"),
-    );
-}
-
-/// Lists the balancers and, if it is due, writes the entry of this one; returns whether the entry is fresh. A reader also
-/// removes the entries of balancers that have stopped refreshing them.
-async fn refresh_registration(
-    sources: &TableSources,
-    store: &Store,
-    local: &PeerInfo,
-    refresh: Refresh,
-    registered_peers: &UnboundedSender<Vec<PeerInfo>>,
-) -> Result<bool, skylarkflow_store::Error> {
-    let state = sources.state();
-    let now_unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-    let mut others = Vec::new();
-    let mut is_listed = false;
-    let mut is_registered = false;
-    let mut after: Option<String> = None;
-    loop {
-        state.metrics.count(Counter::StoreCalls);
-        let Response { epoch, body: page } = store
-            .list(object::BALANCERS, after.as_deref(), refresh.requires_latest)
-            .await?;
-        sources.observe_epoch(epoch.unwrap_or_default());
-        for item in &page.items {
-            let name = object::name(item);
-            let Ok(entry) = object::decode_registration(item) else {
-                continue;
-            };
-            let entry_age = now_unix.saturating_sub(Duration::from_secs(entry.refreshed));
-            if name == local.name {
-                let is_unchanged = entry.address == local.address && entry.zone == local.zone;
-                is_listed = true;
-                is_registered = is_unchanged && entry_age < REFRESH_INTERVAL;
-            } else if entry_age < ENTRY_MAX_AGE {
-                others.push(PeerInfo {
-                    name: name.to_owned(),
-                    zone: entry.zone,
-                    address: entry.address,
-                });
-            } else if refresh.is_reader {
-                state.metrics.count(Counter::StoreCalls);
-                store
-                    .remove(object::BALANCERS, name, object::revision(item))
-                    .await?;
-            }
-        }
-        after = page.items.last().map(|item| object::name(item).to_owned());
-        if !page.more {
-            break;
-        }
-    }
-    // Sending only fails when the receiver was dropped because the process is exiting.
-    let _ = registered_peers.send(others);
-    if is_registered || !refresh.is_due {
-        return Ok(is_registered);
-    }
-    let entry = Registration {
-        zone: local.zone.clone(),
-        address: local.address,
-        refreshed: now_unix.as_secs(),
-    };
-    state.metrics.count(Counter::StoreCalls);
-    let entry = serde_json::json!(entry);
-    store
-        .write(object::BALANCERS, &local.name, &entry, is_listed)
-        .await?;
-    Ok(true)
-}
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        steer_control,
+        steer_control::{self, ObjectSync},
         steer_daemon::Error,
         steer_data::UpstreamEvent,
         steer_http, steer_peers,
         steer_probe::{self, Probe, Waker},
+        steer_registration::Registrar,
         steer_settings::Settings,
         steer_sources::{ObjectKind, TableSources},
         steer_state::State,
@@ -172,26 +173,25 @@
             (ObjectKind::Upstreams, peer_tables.clone()),
         ];
         for (seed, (kind, peer_tables)) in (0..).zip(kinds) {
-            let list_watch =
-                ListWatch::new(self.settings.list_watch(), state.clock.incarnation() ^ seed);
-            self.store_tasks
-                .push(tokio::spawn(steer_control::sync_objects(
-                    Arc::clone(&self.sources),
-                    store.clone(),
-                    kind,
-                    list_watch,
-                    self.role.clone(),
-                    peer_tables,
-                )));
+            let seed = state.clock.incarnation() ^ seed;
+            let sync = ObjectSync::new(steer_control::Inputs {
+                sources: Arc::clone(&self.sources),
+                store: store.clone(),
+                kind,
+                list_watch: ListWatch::new(self.settings.list_watch(), seed),
+                role: self.role.clone(),
+                peer_tables,
+            });
+            self.store_tasks.push(tokio::spawn(sync.run()));
         }
-        self.store_tasks
-            .push(tokio::spawn(steer_peers::maintain_registration(
-                Arc::clone(&self.sources),
-                store,
-                self.settings.peer_info(),
-                self.registered_peers.clone(),
-                self.role.clone(),
-            )));
+        let registrar = Registrar {
+            sources: Arc::clone(&self.sources),
+            store,
+            local: self.settings.peer_info(),
+            registered_peers: self.registered_peers.clone(),
+            role: self.role.clone(),
+        };
+        self.store_tasks.push(tokio::spawn(registrar.run()));
         Ok(())
     }
 }
