Let a list of the store end when its epoch becomes known

The first response at a balancer's start names the epoch; it cancelled the list of the other kind, which was made again. A list needs no such end, as its own response names the epoch it belongs to; a pending watch does.

No test: which response comes first is left to chance there.

--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -122,18 +122,20 @@
 
     /// Makes a call; `None` if another one has to replace it.
     ///
-    /// A pending call is replaced when the role changes or the store was restored.
+    /// A pending watch is replaced when the role changes or the store was restored. A list is not, as its response names
+    /// the epoch that it belongs to.
     async fn call(&mut self, call: &Call) -> Option<Result<(CallOutcome, ResponseContent)>> {
         let Inputs {
             store, kind, role, ..
         } = &mut self.inputs;
         let requires_latest = *role.borrow() == Role::Reader;
         let known_epoch = *self.epoch.borrow();
+        let is_watch = matches!(call, Call::Watch { .. });
         let response = call_store(store, *kind, call, requires_latest, known_epoch);
         tokio::select! {
             result = response => Some(result),
             Ok(()) = role.changed() => None,
-            Ok(()) = self.epoch.changed() => None,
+            Ok(()) = self.epoch.changed(), if is_watch => None,
         }
     }
 
