Name the limits of the restore tests, and say in own words what a restore does

Numbers of the soak's kinds of faults and of its pauses, of flows in a row and of poll intervals are constants with a reason. An entry called draining was ready at first; draining_entry builds one. One test and one function have other names: a_change_with_a_reused_revision_is_not_skipped, replay_last_writes.

--- a/crates/policy/src/config_reader.rs
+++ b/crates/policy/src/config_reader.rs
@@ -297,7 +297,7 @@
         match kind {
             // A write without an answer may have taken effect, so the store is listed again.
             CallKind::List | CallKind::Put => self.next_list = now + wait,
-            // The store may have been restored meanwhile and have given out the watched revision again.
+            // The store may have been restored meanwhile, so the watched revision may stand for other changes.
             CallKind::Watch => {
                 self.revision = None;
                 self.next_list = now + wait;
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -112,7 +112,7 @@
     5116 STORE_RESPONSE_OUTDATED Warn "store"
         "A response of the store was discarded: it is older than what is known, or its watch began before a restore.";
     5117 STORE_RESTORED Warn "store"
-        "The store was restored from an older copy: its epoch has risen, and it gives revisions out again.";
+        "The store was restored from an older copy: its epoch has risen, and its revisions count anew from the copy.";
     5118 STORE_RESPONSE Debug "store" "The store has responded to a list or a watch.";
     5119 UPSTREAMS_CONTRADICTED Warn "upstream"
         "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
--- a/crates/skylarkflow/src/soak_faults.rs
+++ b/crates/skylarkflow/src/soak_faults.rs
@@ -24,6 +24,16 @@
 /// Longest time until a new version of the configuration is active at every balancer.
 const CONFIG_LIMIT: Duration = Duration::from_secs(3);
 
+/// Number of kinds of random faults.
+const FAULT_KINDS: u32 = 13;
+
+/// The same with restores of the store, which come last so that a seed without them draws the same faults as before.
+const FAULT_KINDS_WITH_RESTORES: u32 = 15;
+
+/// Longest outage before a restore, and longest time after it until writes are replayed; the platform allows 2 s for the
+/// latter.
+const MAX_RESTORE_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Number of changes that a restore of the store loses, more than are made soon after it.
 const LOST_CHANGES: usize = 50;
 
@@ -52,8 +62,11 @@
     with_restores: bool,
     results: &SharedResults,
 ) -> io::Result<()> {
-    // Restores come last, so that a seed without them draws the faults that it always drew.
-    let kinds = if with_restores { 15 } else { 13 };
+    let kinds = if with_restores {
+        FAULT_KINDS_WITH_RESTORES
+    } else {
+        FAULT_KINDS
+    };
     let mut rng = SmallRng::seed_from_u64(seed);
     let view = site.view();
     let address = SocketAddrV4::new(loopback(31, 0), view.port);
@@ -99,15 +112,15 @@
         .set_fault(*faults.choose(rng).unwrap_or(&Fault::None));
 }
 
-/// Restores the store from its last copy after a short outage; what was written since is written again after a while.
+/// Restores the store from its last copy after a short outage; a while later, all last writes are replayed.
 async fn restore_store(site: &mut Site, rng: &mut SmallRng) {
     site.record_disturbance();
     site.store.set_fault(Fault::Refuse);
-    time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    time::sleep(rng.random_range(Duration::ZERO..MAX_RESTORE_PAUSE)).await;
     site.restore_store();
     site.store.set_fault(Fault::None);
-    time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
-    site.rewrite_store();
+    time::sleep(rng.random_range(Duration::ZERO..MAX_RESTORE_PAUSE)).await;
+    site.replay_last_writes();
     site.record_disturbance();
 }
 
@@ -220,7 +233,7 @@
     }
     time::sleep(CONFIG_LIMIT).await;
     site.restore_store();
-    site.rewrite_store();
+    site.replay_last_writes();
     time::sleep(CONFIG_LIMIT).await;
 }
 
--- a/crates/skylarkflow/src/soak_site.rs
+++ b/crates/skylarkflow/src/soak_site.rs
@@ -228,8 +228,8 @@
         }
     }
 
-    /// Writes again what the operator and the upstreams have written last, and removes the entries of other upstreams.
-    pub fn rewrite_store(&mut self) {
+    /// Replays the last write of the operator and of each upstream, and removes the entries of upstreams that have ended.
+    pub fn replay_last_writes(&mut self) {
         self.configure();
         for (&id, upstream) in &self.upstreams {
             let is_draining = self.view.drain_start(id).is_some();
--- a/crates/skylarkflow/tests/restored_store.rs
+++ b/crates/skylarkflow/tests/restored_store.rs
@@ -1,5 +1,5 @@
 //! Guards against balancers that miss changes after the store was restored from an older copy of itself: its revisions
-//! are lower then, and are given out again.
+//! are lower then, and each may stand for another change than before.
 
 mod support;
 
@@ -34,6 +34,13 @@
 /// Time within which live upstreams have registered again after a restore, as the platform states it.
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
+/// Flows in a row that only the expected upstream must answer; with two in use, a row of one comes about by chance once in
+/// a million.
+const REQUIRED_FLOWS: u32 = 20;
+
+/// Interval at which a condition is checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 fn configure(site: &Site, version: u64, services: &[SocketAddrV4]) {
     let routes: Vec<_> = services.iter().map(|&service| (service, POOL)).collect();
     site.store.configure(version, &routes);
@@ -85,7 +92,7 @@
 }
 
 #[test]
-fn a_change_with_a_revision_that_was_given_out_before_is_not_skipped() {
+fn a_change_with_a_reused_revision_is_not_skipped() {
     Runtime::new().expect("a runtime").block_on(async {
         let site = start_site(55).await;
         let copy = make_changes_after_a_copy(&site, 55).await;
@@ -105,21 +112,24 @@
         let site = start_site(56).await;
         let copy = make_changes_after_a_copy(&site, 56).await;
         let caller = new_caller(&site, 56).await;
-        let draining = ready_entry(site.upstream.address);
-        // The entry is known with a revision that the store gives out again.
-        site.store.register(7, &draining);
+        // The entry is known with a revision that the restored store reuses for another change.
+        site.store.register(7, &ready_entry(site.upstream.address));
         site.store.restore(copy);
-        let draining = UpstreamEntry {
-            is_draining: true,
-            ..draining
-        };
-        site.store.register(7, &draining);
+        site.store
+            .register(7, &draining_entry(site.upstream.address));
         let _other = add_upstream(&site, 56).await;
         write_other_entries(&site, 2 * LOST_CHANGES);
         wait_until_only(&site, &caller, 2_100..4_000, 8).await;
     });
 }
 
+fn draining_entry(address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        is_draining: true,
+        ..ready_entry(address)
+    }
+}
+
 /// Starts an upstream with the identifier 8 and registers it.
 async fn add_upstream(site: &Site, net: u8) -> Upstream {
     let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 9), 0));
@@ -136,14 +146,14 @@
     for port in ports {
         let is_expected = wait_for_answer(site, caller, port).await == upstream;
         consecutive = if is_expected { consecutive + 1 } else { 0 };
-        if consecutive == 20 {
+        if consecutive == REQUIRED_FLOWS {
             return;
         }
         assert!(
             start.elapsed() < TIMEOUT,
             "other upstreams still get new flows after {TIMEOUT:?}"
         );
-        time::sleep(Duration::from_millis(20)).await;
+        time::sleep(POLL_INTERVAL).await;
     }
     panic!("other upstreams still get new flows");
 }
@@ -196,11 +206,8 @@
         assert_eq!(wait_for_answer(&site, &caller, 2_000).await, 7);
         let copy = site.store.snapshot();
         let _added = add_upstream(&site, 59).await;
-        let draining = UpstreamEntry {
-            is_draining: true,
-            ..ready_entry(site.upstream.address)
-        };
-        site.store.register(7, &draining);
+        site.store
+            .register(7, &draining_entry(site.upstream.address));
         wait_until_only(&site, &caller, 2_100..3_000, 8).await;
         // The copy has no entry of the added upstream, and an old one of the upstream that drains.
         assert_only_after_restore(&site, &caller, 3_000..3_040, copy, 8).await;
@@ -226,7 +233,7 @@
                 start.elapsed() < TIMEOUT,
                 "no registration within {TIMEOUT:?}; restored: {is_restored}"
             );
-            time::sleep(Duration::from_millis(20)).await;
+            time::sleep(POLL_INTERVAL).await;
         }
     });
 }
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -331,7 +331,7 @@
             return self.schedule_relist(now + self.settings.initial_backoff);
         }
         if self.has_other_history() {
-            // The store has given out the watched revision a second time, so changes below it are missing.
+            // The watched revision belongs to another history, in which it says nothing about earlier changes.
             return self.schedule_relist(now);
         }
         self.schedule_watch(now + self.settings.min_watch_interval, position);
--- a/crates/steering/src/position.rs
+++ b/crates/steering/src/position.rs
@@ -1,7 +1,7 @@
 //! Points in the history of the store, which orders its responses and the tables of balancers.
 
-/// Number of a history of the store. It rises when the store is restored from an older copy, which gives revisions out
-/// again.
+/// Number of a history of the store. It rises when the store is restored from an older copy, since revisions count anew
+/// from that of the copy.
 pub type Epoch = u64;
 
 /// Revision of the store; of two in the same epoch, the higher one is newer.
