--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -3,10 +3,12 @@
 use {
     crate::{
         client::End,
+        endpoint::Endpoint,
         site::Site,
     },
     std::{
         env,
+        net::SocketAddr,
         sync::{Arc, Mutex},
         thread,
         time::{Duration, Instant},
@@ -19,10 +21,21 @@
 const USUAL_PAUSE: Duration = Duration::from_millis(250);
 const BEAT: Duration = Duration::from_millis(1_200);
 
+/// Returns the numbers of endpoints of the two services in each zone.
+pub fn endpoint_counts(case: &str) -> [[usize; 3]; 2] {
+    match case {
+        // A page of a list has about 500 entries; this is the number of endpoints on the site `ccr-routes-large`.
+        "stale-page" => [[160, 160, 160], [40, 40, 40]],
+        _ => [[5, 5, 4], [2, 1, 1]],
+    }
+}
+
 pub fn run(case: &str, site: Site, trouble: bool) -> ! {
     match case {
         "foreign-text" => foreign_text(site, trouble),
         "stale-start" => stale_start(site, trouble),
+        "stale-page" => stale_page(site, trouble),
+        "frozen-reader" => frozen_reader(site, trouble),
         "route-again" => route_again(site, trouble),
         "foreign-service" => foreign_service(site, trouble),
         _ => {
@@ -84,7 +97,7 @@
     let drained = Arc::clone(&site.endpoints[0]);
     let acknowledged = drained.drain(&site.store);
     site.record.tell(&format!("the store acknowledged that {} is draining", drained.name));
-    let openers = start_openers(&site, Duration::from_secs(7));
+    let openers = start_openers(&site, Duration::from_secs(7), Duration::from_millis(100));
     sleep(7.0);
     drop(openers);
     let bound = Duration::from_millis(3_000);
@@ -118,8 +131,8 @@
     site.end(i32::from(!late.is_empty() || !recovers))
 }
 
-/// Opens a new flow every 100 ms from each client machine.
-fn start_openers(site: &Site, time: Duration) -> Vec<thread::JoinHandle<()>> {
+/// Opens a new flow from each client machine after each pause.
+fn start_openers(site: &Site, time: Duration, pause: Duration) -> Vec<thread::JoinHandle<()>> {
     let openers = site.clients.iter().map(|client| {
         let (client, route) = (Arc::clone(client), site.route(1));
         let until = Instant::now() + time;
@@ -128,7 +141,7 @@
                 if let Ok(flow) = client.open(route) {
                     flow.close();
                 }
-                thread::sleep(Duration::from_millis(100));
+                thread::sleep(pause);
             }
         })
     });
@@ -190,7 +203,7 @@
     let lag = env::var("LAG_MS").ok().and_then(|lag| lag.parse().ok()).unwrap_or(5_500);
     site.configure(7, &[(1, "dispatch"), (2, "manifests"), (3, "dispatch")]);
     sleep(6.5);
-    site.store.set_lag(Duration::from_millis(lag));
+    site.store.set_lags(&[Duration::from_millis(lag)]);
     site.record.tell(&format!("reads with Serializable return data that is {lag} ms old"));
     begin_with(&mut site, USUAL_PAUSE);
     let acknowledged = site.configure(8, &[(1, "dispatch"), (2, "manifests"), (4, "dispatch")]);
@@ -203,9 +216,16 @@
         site.start_all();
         site.record.tell("started all daemons again");
     }
-    let bound = Duration::from_millis(3_000);
-    let results: Arc<Mutex<Vec<(Instant, u8, std::net::SocketAddr, &'static str)>>> = Arc::default();
-    let until = acknowledged + Duration::from_secs(9);
+    let results = open_often(&site, acknowledged + Duration::from_secs(9));
+    judge_config(&mut site, &results, acknowledged, &drained, drain_acknowledged, None)
+}
+
+/// An attempt to open a flow: when it was sent, to which route, through which machine, and the result.
+type Attempt = (Instant, u8, SocketAddr, &'static str);
+
+/// Opens flows to the routes 1, 3 and 4 from every client machine until a time.
+fn open_often(site: &Site, until: Instant) -> Vec<Attempt> {
+    let results: Arc<Mutex<Vec<Attempt>>> = Arc::default();
     let mut threads = Vec::new();
     for client in &site.clients {
         for index in [1, 3, 4] {
@@ -229,47 +249,65 @@
         }
     }
     threads.into_iter().for_each(|thread| drop(thread.join()));
-    let results = results.lock().unwrap().clone();
+    results.lock().unwrap().clone()
+}
+
+/// Judges CONFIG for a version that drops route 3 and adds route 4, and DRAIN for one endpoint.
+fn judge_config(
+    site: &mut Site,
+    results: &[Attempt],
+    acknowledged: Instant,
+    drained: &Endpoint,
+    drain_acknowledged: Instant,
+    frozen: Option<SocketAddr>,
+) -> ! {
+    let bound = Duration::from_millis(3_000);
+    let in_touch = |machine, at| Some(machine) != frozen && site.in_touch(machine, at, CONTACT);
     let mut late = Vec::new();
-    for (sent, index, machine, result) in results {
+    for &(sent, index, machine, result) in results {
         let is_old = (index == 3 && result == "opened") || (index == 4 && result == "refused");
-        let in_touch = sent >= site.started(machine) + CONTACT;
-        if is_old && in_touch && sent > acknowledged + bound {
+        if is_old && in_touch(machine, sent) && sent > acknowledged + bound {
             let after = (sent - acknowledged).as_secs_f64();
             site.record.line(&format!(
                 "CONFIG: a flow to route {index}, sent {after:.3} s after the acknowledgement, was {result} through {machine}"
             ));
-            late.push((after, index, machine));
+            late.push((after, index));
         }
     }
     let openings = drained.openings.lock().unwrap().clone();
-    let drains = openings.iter().filter(|opening| {
-        let in_touch = opening.at >= site.started(opening.machine) + CONTACT;
-        in_touch && opening.at > drain_acknowledged + bound
-    });
+    let drains = openings
+        .iter()
+        .filter(|opening| in_touch(opening.machine, opening.at) && opening.at > drain_acknowledged + bound);
     let drains = drains.count();
-    let dropped = late.iter().filter(|(_, index, _)| *index == 3).count();
+    let dropped = late.iter().filter(|(_, index)| *index == 3).count();
     site.record.tell(&format!(
         "CONFIG: later than {bound:?} after the acknowledgement, machines in touch sent {dropped} flows on by the dropped \
-         route and refused {} flows of the added one, at {:.2} to {:.2} s after it; DRAIN: {drains} flows were opened at \
-         {} through machines in touch later than {bound:?} after its acknowledgement",
+         route and refused {} flows of the added one, at {:.2} to {:.2} s after it",
         late.len() - dropped,
         late.iter().map(|late| late.0).fold(f64::INFINITY, f64::min),
-        late.iter().map(|late| late.0).fold(0.0, f64::max),
+        late.iter().map(|late| late.0).fold(0.0, f64::max)
+    ));
+    site.record.tell(&format!(
+        "DRAIN: {drains} flows were opened at {} through machines in touch later than {bound:?} after its acknowledgement",
         drained.name
     ));
     site.end(i32::from(!late.is_empty() || drains > 0))
 }
 
+/// A flow that the system reset: when it was opened and reset, its port, and whether a POST request waited on it.
+type Reset = (Instant, Instant, std::net::SocketAddrV4, bool);
+
 /// A configuration drops a route and the next one adds it again, while the machines are restarted in turn.
 fn route_again(mut site: Site, trouble: bool) -> ! {
-    let lag = env::var("LAG_MS").ok().and_then(|lag| lag.parse().ok()).unwrap_or(0);
-    site.store.set_lag(Duration::from_millis(lag));
+    let lag = env::var("LAG_MS").ok().and_then(|lag| lag.parse().ok()).unwrap_or(1_000);
     site.configure(7, &[(1, "dispatch"), (2, "manifests"), (3, "dispatch")]);
+    sleep(lag as f64 / 1_000.0);
+    site.store.set_lags(&[Duration::from_millis(lag)]);
+    site.record.tell(&format!("reads with Serializable return data that is {lag} ms old"));
     begin_with(&mut site, USUAL_PAUSE);
     let stop = Arc::new(Mutex::new(false));
     // Callers of the route in question: they open flows while it exists and use each for two seconds.
-    let broken: Arc<Mutex<Vec<(Instant, Instant, std::net::SocketAddrV4)>>> = Arc::default();
+    let broken: Arc<Mutex<Vec<Reset>>> = Arc::default();
     let mut threads = Vec::new();
     for client in &site.clients {
         for _ in 0..4 {
@@ -289,12 +327,14 @@
                         let sent = Instant::now();
                         let mut end = flow.request(method, &attempt, Duration::from_millis(1_200));
                         done.lock().unwrap().push(crate::site::Done { sent, method, attempt, end });
-                        if end == End::Served {
+                        let idle = end == End::Served;
+                        if idle {
                             end = flow.rest(Duration::from_millis(60)).unwrap_or(End::Served);
                         }
                         if end != End::Served {
                             if end == End::SystemReset {
-                                broken.lock().unwrap().push((flow.opened, Instant::now(), flow.source));
+                                let in_post = method == "POST" && !idle;
+                                broken.lock().unwrap().push((flow.opened, Instant::now(), flow.source, in_post));
                             }
                             break;
                         }
@@ -322,13 +362,13 @@
         let at = store_site.configure(version + 1, with);
         spans.push(at);
         version += 2;
-        store_site.roll(index % count);
+        store_site.roll(&[index % count]);
         sleep(1.0);
     }
     *stop.lock().unwrap() = true;
     threads.into_iter().for_each(|thread| drop(thread.join()));
-    let mut wrong = 0;
-    for (opened, at, source) in broken.lock().unwrap().iter() {
+    let (mut wrong, mut posts) = (0, 0);
+    for (opened, at, source, in_post) in broken.lock().unwrap().iter() {
         // Only flows that were opened after the route was there again, and reset before the next configuration.
         let Some(added) = spans.iter().rev().find(|added| *added <= opened) else { continue };
         if *at > *added + Duration::from_millis(1_900) {
@@ -336,6 +376,7 @@
         }
         let names: Vec<&str> = site.endpoints_of(*source).iter().map(|endpoint| &*endpoint.name).collect();
         wrong += 1;
+        posts += u32::from(*in_post);
         site.record.line(&format!(
             "FLOW: {source}, opened {:.3} s after the route was added again, was reset by the system at {:.3}, {:.3} s \
              after it; its endpoint {names:?} lives",
@@ -345,9 +386,87 @@
         ));
     }
     site.record.tell(&format!(
-        "FLOW: {wrong} open flows of a route that exists were reset by the system; {} POST requests ran and were never \
-         answered",
-        lost_posts(&site)
+        "FLOW: {wrong} open flows of a route that exists were reset by the system; on {posts} of them a POST request \
+         waited, which its client must not repeat"
     ));
     site.end(i32::from(wrong > 0))
 }
+
+/// Endpoints are taken away while machines are restarted. Reads with `Serializable` go to one of two copies of the store at
+/// random, of which one is seconds old.
+fn stale_page(mut site: Site, trouble: bool) -> ! {
+    let lag = env::var("LAG_MS").ok().and_then(|lag| lag.parse().ok()).unwrap_or(4_000);
+    sleep(lag as f64 / 1_000.0);
+    site.store.set_lags(&[Duration::ZERO, Duration::from_millis(lag)]);
+    site.record.tell(&format!("reads with Serializable return data that is 0 or {lag} ms old"));
+    begin(&mut site, USUAL_PAUSE);
+    let mut acknowledged: Vec<(usize, Instant)> = Vec::new();
+    // A thirtieth of the endpoints leaves in each round, those with the highest names first.
+    let mut by_name: Vec<usize> = (0..site.endpoints.len()).collect();
+    by_name.sort_by_key(|&index| std::cmp::Reverse(site.endpoints[index].name.clone()));
+    let openers = start_openers(&site, Duration::from_secs(68), Duration::from_millis(25));
+    for (round, machines) in [[0, 3], [1, 6], [4, 7], [0, 3]].into_iter().enumerate() {
+        for &index in &by_name[20 * round..20 * (round + 1)] {
+            acknowledged.push((index, site.endpoints[index].drain(&site.store)));
+        }
+        site.record.tell("the store acknowledged that 20 endpoints are draining");
+        let start = Instant::now();
+        if trouble {
+            site.roll(&machines);
+        }
+        sleep(16.0 - start.elapsed().as_secs_f64());
+    }
+    openers.into_iter().for_each(|opener| drop(opener.join()));
+    // DrainMs and ContactMs of the site `ccr-routes-large`, which has as many endpoints; they are twice those of the small
+    // site.
+    let (bound, contact) = (Duration::from_millis(6_000), Duration::from_millis(6_000));
+    let mut late = Vec::new();
+    for (index, at) in acknowledged {
+        let endpoint = &site.endpoints[index];
+        for opening in endpoint.openings.lock().unwrap().iter() {
+            let after = opening.at.saturating_duration_since(at);
+            // Endpoints go on serving for some seconds after DrainMs; 16 s are counted at most.
+            let in_touch = site.in_touch(opening.machine, opening.at, contact);
+            if in_touch && after > bound && after < Duration::from_secs(16) {
+                let after = after.as_secs_f64();
+                site.record.line(&format!(
+                    "DRAIN: a flow was opened at {} through {} {after:.2} s after the acknowledgement",
+                    endpoint.name, opening.machine
+                ));
+                late.push(after);
+            }
+        }
+    }
+    site.record.tell(&format!(
+        "DRAIN: {} flows were opened at draining endpoints through machines in touch later than {bound:?} after the \
+         acknowledgement, the last {:.2} s after it",
+        late.len(),
+        late.iter().copied().fold(0.0, f64::max)
+    ));
+    site.end(i32::from(!late.is_empty()))
+}
+
+/// The machine that reads the store for its zone freezes right after it has adopted a configuration. Reads with
+/// `Serializable` return data that is 5.5 s old.
+fn frozen_reader(mut site: Site, trouble: bool) -> ! {
+    let lag = env::var("LAG_MS").ok().and_then(|lag| lag.parse().ok()).unwrap_or(5_500);
+    site.configure(7, &[(1, "dispatch"), (2, "manifests"), (3, "dispatch")]);
+    sleep(lag as f64 / 1_000.0);
+    site.store.set_lags(&[Duration::from_millis(lag)]);
+    site.record.tell(&format!("reads with Serializable return data that is {lag} ms old"));
+    begin_with(&mut site, USUAL_PAUSE);
+    // The daemons find each other by lists of their entries, 3 s and 33 s after their start.
+    sleep(34.0);
+    let drained = Arc::clone(&site.endpoints[0]);
+    let drain_acknowledged = drained.drain(&site.store);
+    site.record.tell(&format!("the store acknowledged that {} is draining", drained.name));
+    let acknowledged = site.configure(8, &[(1, "dispatch"), (2, "manifests"), (4, "dispatch")]);
+    sleep(0.3);
+    if trouble {
+        site.signal(0, "-STOP");
+    }
+    let results = open_often(&site, acknowledged + Duration::from_secs(7));
+    site.signal(0, "-CONT");
+    let frozen = site.routers.fronts[0].datagrams.into();
+    judge_config(&mut site, &results, acknowledged, &drained, drain_acknowledged, Some(frozen))
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -27,7 +27,7 @@
         process::exit(2);
     };
     let record = record::Record::create(Path::new(record));
-    let site = site::Site::new(&record, PathBuf::from(folder));
+    let site = site::Site::new(&record, PathBuf::from(folder), cases::endpoint_counts(case));
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     record.tell(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     cases::run(case, site, trouble);
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -25,13 +25,14 @@
 pub const ZONES: [&str; 3] = ["tacoma", "salem", "spokane"];
 /// Machines in each zone, as on the smallest site.
 const MACHINES: [usize; 3] = [3, 3, 2];
-pub const GRACE: Duration = Duration::from_secs(6);
+const GRACE: Duration = Duration::from_secs(6);
 
 struct Daemon {
     name: String,
     settings: PathBuf,
     child: Option<Child>,
-    started: Instant,
+    /// Spans of disruptions: from a signal to the start or the next signal.
+    disturbed: Vec<(Instant, Option<Instant>)>,
 }
 
 /// A request that ended.
@@ -72,7 +73,9 @@
 
 impl Site {
     /// Starts the platform and the endpoints; the daemons are not running yet.
-    pub fn new(record: &Arc<Record>, folder: PathBuf) -> Site {
+    ///
+    /// The services have the given numbers of endpoints in each zone.
+    pub fn new(record: &Arc<Record>, folder: PathBuf, counts: [[usize; 3]; 2]) -> Site {
         let octet = 20 + (std::process::id() % 200) as u8;
         let port = 10_000 + (std::process::id() % 4_000) as u16 * 4;
         let at = |third: u8, fourth: usize, port: u16| {
@@ -103,17 +106,20 @@
                         ("Bounds.GraceS", "6".to_owned()),
                     ],
                 );
+                // For the study of a run; the template sets no level.
+                let level = std::env::var("LOG_LEVEL").map_or(String::new(), |level| format!("\n  level: {level}\n"));
+                let text = text.trim_end().to_owned() + &level;
                 let settings = folder.join(format!("{name}.yaml"));
                 fs::write(&settings, text).expect("the settings can be written");
-                daemons.push(Daemon { name, settings, child: None, started: Instant::now() });
+                daemons.push(Daemon { name, settings, child: None, disturbed: Vec::new() });
                 fronts.push(Front::new(zone, datagrams, readiness));
             }
         }
         let mut endpoints = Vec::new();
-        for (service, counts, work) in [("dispatch", [5, 5, 4], 26), ("manifests", [2, 1, 1], 5)] {
+        for (service, counts, work) in [("dispatch", counts[0], 26), ("manifests", counts[1], 5)] {
             for (zone_at, zone) in ZONES.iter().enumerate() {
                 for _ in 0..counts[zone_at] {
-                    let address = at(100, endpoints.len(), port + 3);
+                    let address = at(100 + (endpoints.len() / 250) as u8, endpoints.len() % 250, port + 3);
                     let work = Duration::from_millis(work);
                     let id = crate::random();
                     endpoints.push(Endpoint::start(&store, record, id, service, zone, address, port, work));
@@ -194,7 +200,7 @@
             Ok(child) => {
                 self.record.line(&format!("started {} as process {}", daemon.name, child.id()));
                 daemon.child = Some(child);
-                daemon.started = Instant::now();
+                self.disturb(index, false);
             }
             Err(error) => {
                 self.record.tell(&format!("{} does not start: {error}", daemon.name));
@@ -220,14 +226,25 @@
         self.record.tell("all daemons are ready");
     }
 
-    /// Returns the start of the process at a datagram address.
-    pub fn started(&self, machine: SocketAddr) -> Instant {
-        let at = self.routers.fronts.iter().position(|front| SocketAddr::from(front.datagrams) == machine);
-        self.daemons[at.expect("a machine of the site")].started
+    /// Returns whether the process of a machine ran, without a start or a signal, for `contact` before a moment.
+    pub fn in_touch(&self, machine: SocketAddr, at: Instant, contact: Duration) -> bool {
+        let index = self.routers.fronts.iter().position(|front| SocketAddr::from(front.datagrams) == machine);
+        let disturbed = &self.daemons[index.expect("a machine of the site")].disturbed;
+        !disturbed.iter().any(|&(from, to)| from <= at && to.is_none_or(|to| at < to + contact))
+    }
+
+    /// Records that a disruption of a machine begins, or ends.
+    fn disturb(&mut self, index: usize, begins: bool) {
+        let (now, disturbed) = (Instant::now(), &mut self.daemons[index].disturbed);
+        match disturbed.last_mut() {
+            Some((_, to)) if to.is_none() => *to = (!begins).then_some(now),
+            _ => disturbed.push((now, (!begins).then_some(now))),
+        }
     }
 
     /// Kills a daemon's process.
     pub fn kill(&mut self, index: usize) {
+        self.disturb(index, true);
         if let Some(mut child) = self.daemons[index].child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -245,26 +262,32 @@
         self.record.tell("killed all daemons");
     }
 
-    pub fn signal(&self, index: usize, signal: &str) {
+    pub fn signal(&mut self, index: usize, signal: &str) {
+        self.disturb(index, signal != "-CONT");
         if let Some(child) = &self.daemons[index].child {
             let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
             self.record.line(&format!("sent {signal} to {}", self.daemons[index].name));
         }
     }
 
-    /// Stops a daemon with SIGTERM, with SIGKILL after the grace period, and starts it again.
-    pub fn roll(&mut self, index: usize) {
-        self.signal(index, "-TERM");
+    /// Stops daemons with SIGTERM, with SIGKILL after the grace period, and starts each again.
+    pub fn roll(&mut self, indices: &[usize]) {
+        indices.iter().for_each(|&index| self.signal(index, "-TERM"));
         let start = Instant::now();
-        while let Some(child) = &mut self.daemons[index].child {
-            if start.elapsed() > GRACE {
-                self.kill(index);
-            } else if child.try_wait().ok().flatten().is_some() {
-                self.daemons[index].child = None;
-            }
+        let mut left = indices.to_vec();
+        while !left.is_empty() {
             thread::sleep(Duration::from_millis(20));
+            for index in left.clone() {
+                if start.elapsed() > GRACE {
+                    self.kill(index);
+                }
+                let child = &mut self.daemons[index].child;
+                if child.as_mut().is_none_or(|child| child.try_wait().ok().flatten().is_some()) {
+                    self.start_daemon(index);
+                    left.retain(|&other| other != index);
+                }
+            }
         }
-        self.start_daemon(index);
     }
 
     /// Starts callers: each client machine has `flows` long flows to a route and sends requests on them.
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -37,8 +37,8 @@
     pub address: SocketAddrV4,
     contents: Mutex<Contents>,
     changed: Condvar,
-    /// Age of what reads with `Serializable` return.
-    lag: Mutex<Duration>,
+    /// Age of what reads with `Serializable` return, for each copy; each read goes to one of them at random.
+    lags: Mutex<Vec<Duration>>,
 }
 
 impl Store {
@@ -48,7 +48,7 @@
             address,
             contents: Mutex::new(Contents { revision: 100, changes: Vec::new(), current: BTreeMap::new() }),
             changed: Condvar::new(),
-            lag: Mutex::new(Duration::ZERO),
+            lags: Mutex::new(vec![Duration::ZERO]),
         });
         let server = Arc::clone(&store);
         thread::spawn(move || {
@@ -60,8 +60,14 @@
         store
     }
 
-    pub fn set_lag(&self, lag: Duration) {
-        *self.lag.lock().unwrap() = lag;
+    pub fn set_lags(&self, lags: &[Duration]) {
+        *self.lags.lock().unwrap() = lags.to_vec();
+    }
+
+    /// Returns the age of what one read returns.
+    fn draw_lag(&self, serializable: bool) -> Duration {
+        let lags = self.lags.lock().unwrap();
+        if serializable { lags[crate::random() as usize % lags.len()] } else { Duration::ZERO }
     }
 
     /// Creates or replaces an object and returns the time of the acknowledgement.
@@ -145,13 +151,13 @@
         let parameter = |key: &str| parameter(key).map(|(_, value)| value);
         match (method, name) {
             ("GET", None) => {
-                let lagging = parameter("Serializable") == Some("1");
+                let lag = self.draw_lag(parameter("Serializable") == Some("1"));
                 match parameter("Watch").and_then(|watch| watch.parse().ok()) {
                     Some(after) => {
                         let wait = parameter("WaitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
-                        (200, self.watch(kind, after, Duration::from_millis(wait), lagging))
+                        (200, self.watch(kind, after, Duration::from_millis(wait), lag))
                     }
-                    None => (200, self.list(kind, parameter("after").unwrap_or(""), lagging)),
+                    None => (200, self.list(kind, parameter("after").unwrap_or(""), lag)),
                 }
             }
             ("GET", Some(name)) => match self.contents.lock().unwrap().current.get(&key(kind, name)) {
@@ -186,18 +192,17 @@
     }
 
     /// Returns the revision of the newest change that a read may see.
-    fn visible(&self, contents: &Contents, lagging: bool) -> u64 {
-        let lag = *self.lag.lock().unwrap();
-        if !lagging || lag.is_zero() {
+    fn visible(&self, contents: &Contents, lag: Duration) -> u64 {
+        if lag.is_zero() {
             return contents.revision;
         }
         let old = contents.changes.iter().rev().find(|change| change.at.elapsed() >= lag);
         old.map_or(100, |change| change.revision)
     }
 
-    fn list(&self, kind: &str, after: &str, lagging: bool) -> String {
+    fn list(&self, kind: &str, after: &str, lag: Duration) -> String {
         let contents = self.contents.lock().unwrap();
-        let visible = self.visible(&contents, lagging);
+        let visible = self.visible(&contents, lag);
         let mut objects: BTreeMap<&str, (u64, &str)> = BTreeMap::new();
         for change in contents.changes.iter().filter(|change| change.kind == kind && change.revision <= visible) {
             match &change.spec {
@@ -212,11 +217,11 @@
         format!("{{\"items\":[{}],\"More\":{more},\"AsOf\":{visible}}}", page.join(","))
     }
 
-    fn watch(&self, kind: &str, after: u64, wait: Duration, lagging: bool) -> String {
+    fn watch(&self, kind: &str, after: u64, wait: Duration, lag: Duration) -> String {
         let deadline = Instant::now() + wait;
         let mut contents = self.contents.lock().unwrap();
         loop {
-            let visible = self.visible(&contents, lagging);
+            let visible = self.visible(&contents, lag);
             let news = contents
                 .changes
                 .iter()
@@ -233,7 +238,7 @@
                 let as_of = visible.max(after);
                 return format!("{{\"events\":[{}],\"AsOf\":{as_of}}}", events.join(","));
             }
-            let step = if lagging { left.min(Duration::from_millis(20)) } else { left };
+            let step = if lag.is_zero() { left } else { left.min(Duration::from_millis(20)) };
             contents = self.changed.wait_timeout(contents, step).unwrap().0;
         }
     }
