--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,12 @@
 # Runs the case; exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-target/review/standin route-again review/3/record.txt "$folder"
+# The stand-ins and the processes that they start are one process group, which ends with the run.
+set -m
+trap 'kill -KILL -- "-$standin"; rm -rf "$folder"; exit 2' INT TERM
+target/review/standin route-again review/3/record.txt "$folder" &
+standin=$!
+wait "$standin"
 code=$?
 rm -rf "$folder"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
