Let only entries of configured pools prove that an address has passed on

Cause: of two entries at one address the one that started last holds it, and the other upstream counts as replaced without a probe. That holds among upstreams. An entry whose service no configuration names is none, yet it took part.

Evidence: E5110 Stranger 14 times on each of 8 balancers, at the moment of each of the 14 entries; no agent opens a port, so no probe was answered by one.

Change: entries hold addresses only if the configuration names their pool. This also covers a living upstream whose entry lapses beside such an entry, lapsed pools, and the repeated probes of dead upstreams.

An earlier test let an upstream of a pool that its configuration did not name take over an address; the configuration names both pools now, the check is the same.

--- a/crates/skylarkflow/src/bench_steer.rs
+++ b/crates/skylarkflow/src/bench_steer.rs
@@ -104,7 +104,7 @@
         idle_timeout: Duration::from_secs(15),
     });
     routes
-        .table(directory.view(Duration::ZERO))
+        .table(Duration::ZERO, &directory)
         .expect("a configuration was adopted")
 }
 
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -91,7 +91,7 @@
         let inputs = self.inputs();
         let Some(table) = inputs
             .routes
-            .table(inputs.directory.view(self.state.clock.now()))
+            .table(self.state.clock.now(), &inputs.directory)
         else {
             return;
         };
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -186,15 +186,14 @@
         for upstream in table.cookies.values() {
             let id = upstream.record.id;
             let was_registered = previous.is_some_and(|previous| previous.is_registered(upstream));
-            match table.upstream_at_address_of(upstream) {
-                Some(holder) if holder == id && !was_registered => {
-                    self.liveness.record_registration(id)
+            if table.is_replaced(upstream) {
+                self.liveness.record_replacement(id);
+            } else if table.is_registered(upstream) {
+                if !was_registered {
+                    self.liveness.record_registration(id);
                 }
-                Some(holder) if holder != id => self.liveness.record_replacement(id),
-                None if was_registered && self.tracker.has_flows(upstream) => {
-                    self.liveness.record_removal(now, id);
-                }
-                _ => {}
+            } else if was_registered && self.tracker.has_flows(upstream) {
+                self.liveness.record_removal(now, id);
             }
         }
         let gone = previous
@@ -260,7 +259,8 @@
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
         if let Some(table) = table {
-            let registered: Set<UpstreamId> = table.addresses.values().copied().collect();
+            let holders = table.addresses.values();
+            let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
             self.liveness.tick(now, |id| registered.contains(&id));
         }
         self.collect_actions(table);
--- a/crates/steering/src/cookie.rs
+++ b/crates/steering/src/cookie.rs
@@ -16,10 +16,11 @@
 /// the first cookie with a probability of 13 %, and three share the first two with a probability below 1 in a million.
 const MAX_ATTEMPTS: u64 = 8;
 
-/// An upstream that needs a cookie.
+/// An upstream that needs a cookie and an address; claims are ordered by the start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Claim {
-    /// Start of the upstream in Unix milliseconds; on a collision the earlier one keeps the cookie.
+    /// Start of the upstream in Unix milliseconds; on a collision the earlier one keeps the cookie, while the later one
+    /// holds the address.
     pub started_unix_ms: u64,
     /// Identifier of the upstream.
     pub id: UpstreamId,
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -81,8 +81,8 @@
     pub pools: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
     /// All upstreams to which open flows may belong, by cookie.
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
-    /// Addresses of the registered upstreams.
-    pub addresses: Arc<Map<SocketAddr, UpstreamId>>,
+    /// Holders of the addresses of the registered upstreams.
+    pub addresses: Arc<Map<SocketAddr, Claim>>,
 }
 
 impl Directory {
@@ -227,13 +227,13 @@
         registered.map(|entry| &entry.record)
     }
 
-    /// Returns the upstreams for a new table.
-    pub fn view(&self, now: Duration) -> View {
-        let claim = |entry: &Entry| Claim {
-            started_unix_ms: entry.record.started_unix_ms,
-            id: entry.record.id,
-        };
-        let claims: Vec<Claim> = self.entries.values().map(claim).collect();
+    /// Returns the upstreams for a new table, given the pools that the configuration names.
+    ///
+    /// An entry of any other pool may belong to another writer, or to an upstream whose open flows have outlived their
+    /// pool. It keeps its cookie, but holds no address: it proves nothing about other upstreams.
+    pub fn view(&self, now: Duration, pool_names: &Set<PoolName>) -> View {
+        let claims = self.entries.values().map(|entry| entry.record.claim());
+        let claims: Vec<Claim> = claims.collect();
         let assigned = cookie::assign(&claims);
         let mut registered = Vec::new();
         let mut lapsed = Vec::new();
@@ -257,10 +257,12 @@
         }
         // The entry of the former upstream at an address may outlast the registration of the next one, which then holds
         // the address.
-        registered
-            .sort_unstable_by_key(|upstream| (upstream.record.started_unix_ms, upstream.record.id));
-        let address = |upstream: &Arc<Upstream>| (upstream.record.address, upstream.record.id);
-        let addresses: Map<SocketAddr, UpstreamId> = registered.iter().map(address).collect();
+        registered.sort_unstable_by_key(|upstream| upstream.record.claim());
+        let named = registered
+            .iter()
+            .filter(|upstream| pool_names.contains(&upstream.record.pool));
+        let address = |upstream: &Arc<Upstream>| (upstream.record.address, upstream.record.claim());
+        let addresses: Map<SocketAddr, Claim> = named.map(address).collect();
         lapsed.retain(|upstream| !addresses.contains_key(&upstream.record.address));
         View {
             addresses: Arc::new(addresses),
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        cookie::Cookie,
-        directory::View,
+        cookie::{Claim, Cookie},
+        directory::Directory,
         fault_injection::{self, Fault},
-        upstream::{PoolName, State, Upstream, UpstreamId},
+        upstream::{PoolName, State, Upstream},
     },
     skylarkflow_policy::id::{Map, Set},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
@@ -48,6 +48,15 @@
     pub idle_timeout: Duration,
 }
 
+impl Config {
+    /// Returns the names of the pools that the configuration lists or that its routes use.
+    pub fn pool_names(&self) -> Set<PoolName> {
+        let targets = self.routes.iter().flat_map(|route| &route.targets);
+        let used = targets.map(|target| &target.pool);
+        self.health_paths.keys().chain(used).cloned().collect()
+    }
+}
+
 /// Forwarding table that is made of the current routes and upstreams.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -63,20 +72,31 @@
     pub pools: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
     /// All upstreams to which open flows may belong, by cookie.
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
-    /// Addresses of the registered upstreams.
-    pub addresses: Arc<Map<SocketAddr, UpstreamId>>,
+    /// Holders of the addresses of the registered upstreams.
+    pub addresses: Arc<Map<SocketAddr, Claim>>,
     /// Path of the health check of the upstreams, by pool.
     pub health_paths: Arc<BTreeMap<PoolName, String>>,
+    /// Pools that the configuration names.
+    pub pool_names: Arc<Set<PoolName>>,
 }
 
 impl Table {
     /// Returns whether an upstream is registered and its address belongs to no other one.
     pub fn is_registered(&self, upstream: &Upstream) -> bool {
-        self.upstream_at_address_of(upstream) == Some(upstream.record.id)
+        self.holder_at_address_of(upstream) == Some(upstream.record.claim())
+    }
+
+    /// Returns whether a registered upstream that started later has taken over the address of the given one.
+    ///
+    /// Entries prove this only among upstreams of pools that the configuration names.
+    pub fn is_replaced(&self, upstream: &Upstream) -> bool {
+        let claim = upstream.record.claim();
+        let holder = self.holder_at_address_of(upstream);
+        let is_taken = holder.is_some_and(|holder| holder.id != claim.id && holder > claim);
+        is_taken && self.pool_names.contains(&upstream.record.pool)
     }
 
-    /// Returns the registered upstream at the address of the given one.
-    pub fn upstream_at_address_of(&self, upstream: &Upstream) -> Option<UpstreamId> {
+    fn holder_at_address_of(&self, upstream: &Upstream) -> Option<Claim> {
         self.addresses.get(&upstream.record.address).copied()
     }
 }
@@ -88,6 +108,7 @@
     routes: Arc<Map<SocketAddr, Route>>,
     removed: Arc<Set<SocketAddr>>,
     health_paths: Arc<BTreeMap<PoolName, String>>,
+    pool_names: Arc<Set<PoolName>>,
 }
 
 /// Outcome of [`Routes::adopt`].
@@ -141,13 +162,15 @@
         );
         self.routes = Arc::new(routes);
         self.health_paths = Arc::new(config.health_paths.clone());
+        self.pool_names = Arc::new(config.pool_names());
         self.config = Some(config);
         Adoption::Adopted
     }
 
-    /// Builds the table of the current routes and the given upstreams; `None` before the first configuration.
-    pub fn table(&self, view: View) -> Option<Table> {
+    /// Builds the table of the current routes and the upstreams of a directory; `None` before the first configuration.
+    pub fn table(&self, now: Duration, directory: &Directory) -> Option<Table> {
         let config = self.config.as_ref()?;
+        let view = directory.view(now, &self.pool_names);
         Some(Table {
             version: config.version,
             idle_timeout: config.idle_timeout,
@@ -157,6 +180,7 @@
             cookies: view.cookies,
             addresses: view.addresses,
             health_paths: Arc::clone(&self.health_paths),
+            pool_names: Arc::clone(&self.pool_names),
         })
     }
 }
--- a/crates/steering/src/upstream.rs
+++ b/crates/steering/src/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream and its load, shared by the threads of a balancer.
 
 use {
-    crate::cookie::Cookie,
+    crate::cookie::{Claim, Cookie},
     std::{
         net::SocketAddr,
         sync::{
@@ -54,6 +54,14 @@
 }
 
 impl Record {
+    /// Returns the claim of the upstream to its cookie and its address.
+    pub fn claim(&self) -> Claim {
+        Claim {
+            started_unix_ms: self.started_unix_ms,
+            id: self.id,
+        }
+    }
+
     /// Returns whether the upstream wrote this entry before another one, or both are the same.
     ///
     /// In contrast to revisions, this holds across a restore of the store.
--- a/crates/steering/tests/crashed_upstreams.rs
+++ b/crates/steering/tests/crashed_upstreams.rs
@@ -6,9 +6,9 @@
     skylarkflow_steering::{
         balancer::{Action, Balancer, Verdict},
         liveness::ProbeOutcome,
-        table::Table,
+        table::{Routes, Table},
     },
-    support::{at, balancer, data, directory, ms, open, record, table, target},
+    support::{at, balancer, config_with_pools, data, directory, ms, open, record, table, target},
 };
 
 fn probes(balancer: &mut Balancer) -> Vec<u64> {
@@ -105,7 +105,9 @@
 #[test]
 fn flows_are_reset_when_another_upstream_registers_at_the_same_address() {
     let mut directory = directory(&[record(1, "a")]);
-    let before = table(&directory);
+    let mut routes = Routes::default();
+    routes.adopt(config_with_pools(1, &["dispatch", "manifests"]));
+    let before = routes.table(ms(0), &directory).expect("a configuration");
     let cookie = cookie(&before, 1);
     let mut balancer = balancer("a");
     balancer.update_table(ms(0), None, &before);
@@ -114,7 +116,9 @@
     next.address = record(1, "a").address;
     next.pool = "manifests".to_owned();
     directory.replace(ms(3_000), at(9), vec![(8, next)]);
-    let after = table(&directory);
+    let after = routes
+        .table(ms(3_000), &directory)
+        .expect("a configuration");
     balancer.update_table(ms(3_000), Some(&before), &after);
     let resets = balancer.take_actions().into_iter();
     assert_eq!(
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -72,7 +72,7 @@
     fn new(choose: Choose, seed: u64) -> Simulation {
         let records: Vec<_> = (1..=UPSTREAMS as u64).map(|id| record(id, "a")).collect();
         let view = || {
-            let view = directory(&records).view(ms(0));
+            let view = support::view(&directory(&records), ms(0));
             view.pools["dispatch"].clone()
         };
         Simulation {
--- a/crates/steering/tests/restored_store.rs
+++ b/crates/steering/tests/restored_store.rs
@@ -206,7 +206,7 @@
 
 /// Returns the pool of new flows, as identifiers.
 fn pool(directory: &Directory, now: Duration) -> Vec<UpstreamId> {
-    let view = directory.view(now);
+    let view = support::view(directory, now);
     let pool = view.pools.get("dispatch").into_iter().flatten();
     let mut ids: Vec<UpstreamId> = pool.map(|upstream| upstream.record.id).collect();
     ids.sort_unstable();
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -6,7 +6,7 @@
     skylarkflow_policy::flow::Key,
     skylarkflow_steering::{
         balancer::{Balancer, Settings, Verdict},
-        directory::{self, Directory},
+        directory::{self, Directory, View},
         position::{Position, Revision},
         segment::{Kind, Segment},
         table::{Config, Route, Routes, Table, Target},
@@ -74,14 +74,28 @@
     }
 }
 
+/// Returns a configuration that lists pools besides that of its route.
+pub fn config_with_pools(version: u64, pools: &[&str]) -> Config {
+    let health_path = |pool: &&str| ((*pool).to_owned(), "/health".to_owned());
+    Config {
+        health_paths: pools.iter().map(health_path).collect(),
+        ..config(version, &[service()])
+    }
+}
+
 pub fn table(directory: &Directory) -> Table {
     let mut routes = Routes::default();
     routes.adopt(config(1, &[service()]));
     routes
-        .table(directory.view(Duration::ZERO))
+        .table(Duration::ZERO, directory)
         .expect("a configuration was adopted")
 }
 
+/// Returns the view of a directory while the configuration names the pool of [`record`].
+pub fn view(directory: &Directory, now: Duration) -> View {
+    directory.view(now, &config(1, &[service()]).pool_names())
+}
+
 pub fn balancer(zone: &str) -> Balancer {
     let settings = Settings {
         zone: zone.to_owned(),
--- a/crates/steering/tests/tables.rs
+++ b/crates/steering/tests/tables.rs
@@ -11,7 +11,7 @@
         upstream::{Record, State},
     },
     std::{net::SocketAddr, time::Duration},
-    support::{at, balancer, config, data, directory, ms, open, record, service, table},
+    support::{at, balancer, config, data, directory, ms, open, record, service, table, view},
 };
 
 fn entry_revision(revision: u64) -> EntryRevision {
@@ -57,7 +57,7 @@
     let mut routes = Routes::default();
     routes.adopt(config(1, &[other]));
     let table = routes
-        .table(directory.view(ms(0)))
+        .table(ms(0), &directory)
         .expect("a configuration was adopted");
     let cookie = table.cookies.keys().copied().next().expect("one upstream");
     let mut balancer = balancer("a");
@@ -73,7 +73,7 @@
     routes.adopt(config(2, &[service()]));
     routes.adopt(config(3, &[other]));
     let table = routes
-        .table(directory.view(ms(0)))
+        .table(ms(0), &directory)
         .expect("a configuration was adopted");
     assert_matches!(
         balancer.handle(ms(1), Some(&table), &flow),
@@ -130,8 +130,7 @@
     let mut directory = directory(&records);
     directory.replace(ms(1_000), at(5), Vec::new());
     let usable = |now: Duration| {
-        directory
-            .view(now)
+        view(&directory, now)
             .pools
             .get("dispatch")
             .map_or(0, Vec::len)
@@ -146,8 +145,8 @@
     let records: Vec<Record> = (1..=4).map(|id| record(id, "a")).collect();
     let mut directory = directory(&records);
     directory.remove(ms(1_000), entry_revision(5), 2);
-    assert_eq!(directory.view(ms(1_001)).pools["dispatch"].len(), 3);
-    assert_eq!(directory.view(ms(1_001)).cookies.len(), 4);
+    assert_eq!(view(&directory, ms(1_001)).pools["dispatch"].len(), 3);
+    assert_eq!(view(&directory, ms(1_001)).cookies.len(), 4);
 }
 
 /// Guards against a balancer that applies only some of the changes that it fetched from a peer.
@@ -178,7 +177,7 @@
     let mut directory = directory(&[]);
     let hour = Duration::from_secs(3_600);
     directory.insert(hour, entry_revision(5), extreme);
-    let view = directory.view(hour);
+    let view = view(&directory, hour);
     let upstream = view.cookies.values().next().expect("the upstream");
     assert_eq!(upstream.warmup_end, Duration::MAX);
 }
