Keep open flows whose route a later configuration may have added again

Cause: a balancer at the version without the route resets all packets to its address, although a flow may have been opened by a later version through another balancer. It may lag by as long as the platform allows.

Change: a flow is reset when its first packet was seen here 6 s ago, the longest time in which the platform expects a configuration to be active; the removal is then known to be newer than the flow. The time starts again after a pause of the process. A reset flow stays tracked, since it would count as new otherwise.

--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -36,6 +36,12 @@
     pub health: health::Settings,
     /// Detection of upstreams that have ended.
     pub liveness: liveness::Settings,
+    /// Time within which a new configuration is active on every connected balancer: the longest that the platform allows
+    /// in any deployment.
+    pub max_config_lag: Duration,
+    /// Time without a call after which this process must have been paused, so that its table may be older than
+    /// `max_config_lag`; several periods of a CPU quota.
+    pub pause_threshold: Duration,
 }
 
 impl Default for Settings {
@@ -53,6 +59,8 @@
                 ..health::Settings::default()
             },
             liveness: liveness::Settings::default(),
+            max_config_lag: Duration::from_secs(6),
+            pause_threshold: Duration::from_millis(500),
         }
     }
 }
@@ -145,6 +153,10 @@
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
+    /// Time of the last call.
+    last_call_at: Duration,
+    /// End of the last pause of this process.
+    resumed_at: Duration,
 }
 
 impl Balancer {
@@ -157,6 +169,8 @@
             liveness: LivenessTracker::new(settings.liveness),
             changes: Vec::new(),
             actions: Vec::new(),
+            last_call_at: Duration::ZERO,
+            resumed_at: Duration::ZERO,
             settings,
         }
     }
@@ -227,6 +241,7 @@
 
     /// Decides about a packet.
     pub fn handle(&mut self, now: Duration, table: Option<&Table>, segment: &Segment) -> Verdict {
+        self.detect_pause(now);
         if fault_injection::is_injected(Fault::Panic) {
             panic!("injected fault");
         }
@@ -247,6 +262,7 @@
 
     /// Suspects upstreams that have not answered an opening packet in time; to be called every few milliseconds.
     pub fn check_openings(&mut self, now: Duration, table: Option<&Table>) {
+        self.detect_pause(now);
         while let Some(upstream) = self.tracker.pop_overdue_upstream(now) {
             self.liveness.record_missing_answer(now, upstream.record.id);
         }
@@ -266,6 +282,24 @@
         self.collect_actions(table);
     }
 
+    fn detect_pause(&mut self, now: Duration) {
+        if now >= self.last_call_at + self.settings.pause_threshold {
+            self.resumed_at = now;
+        }
+        self.last_call_at = now;
+    }
+
+    /// Returns whether a flow at an address without a route is known to be older than the removal of the route.
+    ///
+    /// The route may exist again in a configuration that is not active here yet, and the flow may have been opened by
+    /// it through another balancer. A configuration that was older than the first packet seen here is active by now.
+    fn has_lost_route(&self, now: Duration, table: &Table, key: &Key) -> bool {
+        let first_packet_at = self.tracker.first_packet_at(key);
+        table.removed.contains(&key.service)
+            && first_packet_at
+                .is_some_and(|at| now >= at.max(self.resumed_at) + self.settings.max_config_lag)
+    }
+
     /// Moves health changes and the actions of the liveness tracker to the pending actions.
     fn collect_actions(&mut self, table: Option<&Table>) {
         let changes = self.changes.drain(..).map(Action::HealthChanged);
@@ -357,10 +391,6 @@
         segment: &Segment,
         is_last: bool,
     ) -> Verdict {
-        if table.removed.contains(&segment.flow.service) {
-            self.tracker.remove(&segment.flow);
-            return Verdict::Reset(ResetReason::RouteRemoved);
-        }
         let known = if fault_injection::is_injected(Fault::Cookie) {
             table.cookies.values().next()
         } else {
@@ -392,6 +422,11 @@
             }
             Evidence::None => {}
         }
+        if self.has_lost_route(now, table, &segment.flow) {
+            // It stays tracked, so that its next packets are reset as well if this reset is lost.
+            self.tracker.close(&segment.flow);
+            return Verdict::Reset(ResetReason::RouteRemoved);
+        }
         forward_to(upstream)
     }
 
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -75,6 +75,7 @@
 #[derive(Debug)]
 struct Flow {
     upstream: Arc<Upstream>,
+    first_packet_at: Duration,
     last_packet_at: Duration,
     phase: Phase,
     acknowledged: u32,
@@ -130,6 +131,11 @@
         }
     }
 
+    /// Returns the time of the first packet of a flow; `None` if the flow is not tracked.
+    pub fn first_packet_at(&self, key: &Key) -> Option<Duration> {
+        self.flows.get(key).map(|flow| flow.first_packet_at)
+    }
+
     /// Records an opening packet that goes to `upstream`.
     pub fn record_opening(
         &mut self,
@@ -213,6 +219,13 @@
         upstream.load_counters.load().flows > 0
     }
 
+    /// Marks a flow as closed, so that it no longer counts as load.
+    pub fn close(&mut self, key: &Key) {
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.close();
+        }
+    }
+
     /// Stops tracking a flow.
     pub fn remove(&mut self, key: &Key) {
         if let Some(mut flow) = self.flows.remove(key) {
@@ -234,6 +247,7 @@
         add_load(upstream, 1, 0);
         let flow = Flow {
             upstream: Arc::clone(upstream),
+            first_packet_at: now,
             last_packet_at: now,
             phase,
             acknowledged,
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -15,6 +15,7 @@
     std::{
         collections::BTreeMap,
         net::{Ipv4Addr, SocketAddr},
+        ops::Range,
         sync::Arc,
         time::Duration,
     },
@@ -104,6 +105,18 @@
     Balancer::new(settings, 7)
 }
 
+/// Interval at which the thread that forwards packets calls a balancer without packets.
+const CALL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Calls an idle balancer for some time, as the thread that forwards packets does.
+pub fn run(balancer: &mut Balancer, table: &Table, times: Range<Duration>) {
+    let mut now = times.start;
+    while now < times.end {
+        balancer.check_openings(now, Some(table));
+        now += CALL_INTERVAL;
+    }
+}
+
 pub fn key(port: u16) -> Key {
     Key {
         caller: SocketAddr::from(([100, 64, 0, 7], port)),
