Watch from the oldest page of a list

Cause: copies of the store serve the pages of a first list, and a later page may be older than the first. The watch started at the first page's revision, so changes between the two were lost until their entries changed again.

Lists that are old as a whole, and tables of peers, are ruled out.

Change: the watch starts at the oldest page. Two related gaps are closed: a peer between the positions of two pages did not get the entries of the newer page, nor removals of entries that the newer page lacks.

--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -242,7 +242,9 @@
                 .event_log
                 .record(&event::UPSTREAM_REGISTERED, format_args!("{record:?}"));
             self.inputs().directory.insert(now, entry_revision, record);
-        } else if let Some(id) = object::upstream_id(object::name(&change.object)) {
+        } else if let Some(id) = object::upstream_id(object::name(&change.object))
+            && (change.removed || self.inputs().directory.contains(id))
+        {
             self.state
                 .event_log
                 .record(&event::UPSTREAM_REMOVED, format_args!("upstream {id:x}"));
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -67,8 +67,10 @@
 pub struct Directory {
     settings: Settings,
     entries: Map<UpstreamId, Entry>,
-    /// Position of the store up to which removals may be missing: those before the last full list, and those that were
-    /// dropped after their retention.
+    /// Position up to which all changes were known at some time, so that an unknown entry from before it was removed.
+    changes_complete_up_to: Position,
+    /// Position of the store up to which removals may be missing: those before the last full list, those of entries that
+    /// were not known, and those that were dropped after their retention.
     removals_complete_after: Position,
     /// Time of the last call of [`Directory::expire`].
     last_expiry: Duration,
@@ -118,6 +120,7 @@
         for (_, entry) in unlisted.filter(|(id, _)| !listed.contains(id)) {
             entry.handle_absence(now, entry_revision(store_position.revision));
         }
+        self.changes_complete_up_to = self.changes_complete_up_to.max(store_position);
         self.removals_complete_after = self.removals_complete_after.max(store_position);
         self.expire(now);
     }
@@ -127,7 +130,7 @@
         match self.entries.get_mut(&record.id) {
             Some(entry) => entry.update(now, entry_revision, record),
             // A full list after this change did not have the entry, so it was removed, which may not be known any more.
-            None if entry_revision.position() < self.removals_complete_after => {}
+            None if entry_revision.position() < self.changes_complete_up_to => {}
             None => {
                 let id = record.id;
                 self.entries
@@ -137,12 +140,24 @@
     }
 
     /// Removes the entry of an upstream, unless a later change is known.
+    ///
+    /// If the entry is not known, a page of a list that was newer than the position of the list has lacked it already. A
+    /// peer may still have it.
     pub fn remove(&mut self, now: Duration, entry_revision: EntryRevision, id: UpstreamId) {
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.remove(now, entry_revision);
+        match self.entries.get_mut(&id) {
+            Some(entry) => entry.remove(now, entry_revision),
+            None => {
+                let removed_before = entry_revision.store_position;
+                self.removals_complete_after = self.removals_complete_after.max(removed_before);
+            }
         }
     }
 
+    /// Returns whether the upstream has an entry, or had one until a short time ago.
+    pub fn contains(&self, id: UpstreamId) -> bool {
+        self.entries.contains_key(&id)
+    }
+
     /// Drops upstreams whose entries were removed longer ago than the retention time.
     ///
     /// Returns whether the view has changed by the passage of time since the last call.
@@ -165,6 +180,7 @@
             }
             is_retained
         });
+        self.changes_complete_up_to = self.changes_complete_up_to.max(dropped_removal);
         self.removals_complete_after = self.removals_complete_after.max(dropped_removal);
         has_window_ended || self.entries.len() != count_before
     }
@@ -179,7 +195,7 @@
             if is_complete {
                 entry.is_stored()
             } else {
-                entry.entry_revision.store_position > after
+                entry.entry_revision.latest_position() > after
             }
         });
         let change = |(&id, entry): (&UpstreamId, &Entry)| Change {
--- a/crates/steering/src/directory_entry.rs
+++ b/crates/steering/src/directory_entry.rs
@@ -22,6 +22,12 @@
 }
 
 impl EntryRevision {
+    /// Returns the latest position of the store at which this state of the entry was read: a page of a list may be newer
+    /// than the position from which the changes after the list are known.
+    pub fn latest_position(&self) -> Position {
+        self.store_position.max(self.position())
+    }
+
     /// Returns the position at which the entry was changed.
     pub fn position(&self) -> Position {
         Position {
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -136,7 +136,8 @@
     next_call: Call,
     next_call_at: Duration,
     position: Option<Position>,
-    first_page_position: Option<Position>,
+    /// Position of the oldest page of the list in progress.
+    list_position: Option<Position>,
     /// Highest known epoch of the store.
     epoch: Epoch,
     failures: u32,
@@ -158,7 +159,7 @@
             },
             next_call_at: Duration::ZERO,
             position: None,
-            first_page_position: None,
+            list_position: None,
             epoch: 0,
             failures: 0,
             peer_tables: PeerTables::default(),
@@ -206,9 +207,7 @@
             return;
         }
         self.epoch = epoch;
-        let is_list_outdated = self
-            .first_page_position
-            .is_some_and(|first| first.epoch < epoch);
+        let is_list_outdated = self.list_position.is_some_and(|first| first.epoch < epoch);
         if is_list_outdated || (self.has_other_history() && !self.is_paused()) {
             self.schedule_relist(now);
         }
@@ -228,13 +227,11 @@
         self.peer_tables = peer_tables;
         match peer_tables {
             PeerTables::Received(position) if self.position.is_none() => {
-                self.first_page_position = None;
+                self.list_position = None;
                 self.schedule_watch(now, position);
                 true
             }
-            PeerTables::Unavailable
-                if self.position.is_none() && self.first_page_position.is_some() =>
-            {
+            PeerTables::Unavailable if self.position.is_none() && self.list_position.is_some() => {
                 self.next_call_at = self.next_call_at.min(now);
                 false
             }
@@ -291,12 +288,15 @@
     ) -> ContentAction {
         self.failures = 0;
         self.epoch = self.epoch.max(position.epoch);
-        // A watch from the revision of the first page also delivers the changes between two pages.
-        let is_first_page = self.first_page_position.is_none();
-        let first = *self.first_page_position.get_or_insert(position);
-        if first.epoch != position.epoch {
+        let is_first_page = self.list_position.is_none();
+        let oldest_before = self.list_position.unwrap_or(position);
+        if oldest_before.epoch != position.epoch {
             return self.schedule_relist(now);
         }
+        // Each page may come from another replica. A watch from the oldest page also delivers the changes between two
+        // pages, whichever of them was read first.
+        let oldest = oldest_before.min(position);
+        self.list_position = Some(oldest);
         self.next_call_at = now;
         if next.is_some() {
             if is_first_page && self.position.is_none() && self.peer_tables == PeerTables::Pending {
@@ -315,12 +315,12 @@
             };
             return ContentAction::Collect;
         }
-        self.first_page_position = None;
-        if self.is_outdated(first) {
+        self.list_position = None;
+        if self.is_outdated(oldest) {
             // A lagging replica has returned an older state than the known one.
             return self.schedule_relist(now + self.settings.initial_backoff);
         }
-        self.schedule_watch(now, first);
+        self.schedule_watch(now, oldest);
         ContentAction::Replace
     }
 
@@ -360,7 +360,7 @@
             .min(self.settings.max_backoff);
         self.failures += 1;
         self.next_call_at = now + backoff.mul_f64(self.rng.random_range(0.75..1.25));
-        if self.first_page_position.take().is_some() {
+        if self.list_position.take().is_some() {
             self.next_call = Call::List {
                 after: None,
                 is_current: true,
@@ -369,7 +369,7 @@
     }
 
     fn schedule_relist(&mut self, due: Duration) -> ContentAction {
-        self.first_page_position = None;
+        self.list_position = None;
         self.next_call_at = due;
         self.next_call = Call::List {
             after: None,
