Decode the objects in a response of the store one by one

Cause: a response was decoded as one document, so an entry with half of a surrogate pair, a number beyond a double or 200 nested lists failed each list and watch of its kind, and no retry could succeed.

Evidence: E5103 with an error of the decoder at each call, no E5105, no process that ended.

--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -7,15 +7,15 @@
         steer_sources::{ObjectKind, TableSources},
         steer_state::State,
     },
-    serde_json::Value,
     skylarkflow_adapter::{
         client::{self, Response, Store},
-        object,
+        object::{self, Object},
     },
     skylarkflow_steering::{
         gossip::Role,
         list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables},
-        position::{Epoch, Position},
+        position::{Epoch, Position, Revision},
+        upstream::Record,
     },
     skylarkflow_store::Result,
     std::{mem, sync::Arc},
@@ -24,7 +24,7 @@
 
 /// Objects or changes in a response of the store.
 enum ResponseContent {
-    Page(Vec<Value>),
+    Page(Vec<Object>),
     Changes(Vec<object::Change>),
     None,
 }
@@ -55,8 +55,8 @@
     state: Arc<State>,
     /// Highest known epoch of the store.
     epoch: watch::Receiver<Epoch>,
-    /// Objects on the pages of a list that is not complete yet.
-    listed_items: Vec<Value>,
+    /// Upstreams on the pages of a list that is not complete yet.
+    listed: Vec<(Revision, Record)>,
     /// Number of requests to read the current state of the store that were handled.
     requested_reads: u64,
 }
@@ -68,7 +68,7 @@
         ObjectSync {
             state: Arc::clone(inputs.sources.state()),
             epoch: inputs.sources.subscribe_epoch(),
-            listed_items: Vec::new(),
+            listed: Vec::new(),
             requested_reads,
             inputs,
         }
@@ -102,7 +102,7 @@
         } = &mut self.inputs;
         let now = self.state.clock.now();
         if list_watch.set_peer_tables(now, *peer_tables.borrow_and_update()) {
-            self.listed_items.clear();
+            self.listed.clear();
         }
         if list_watch.is_paused() && *kind == ObjectKind::Upstreams {
             // The configuration has no revision of its own in the tables of peers, so its watch is not moved.
@@ -186,19 +186,30 @@
             ..
         } = &self.inputs;
         match (action, content) {
-            (ContentAction::Collect, ResponseContent::Page(items)) => {
-                self.listed_items.extend(items)
-            }
+            (ContentAction::Collect, ResponseContent::Page(items)) => self.collect(&items),
             (ContentAction::Replace, ResponseContent::Page(items)) => {
-                self.listed_items.extend(items);
                 let list_position = list_watch.position().unwrap_or_default();
-                sources.replace_all(*kind, list_position, &self.listed_items);
-                self.listed_items.clear();
+                self.collect(&items);
+                let listed = mem::take(&mut self.listed);
+                if self.inputs.kind == ObjectKind::Upstreams {
+                    let sources = &self.inputs.sources;
+                    sources.replace_upstreams(list_position, listed);
+                }
             }
             (ContentAction::Apply, ResponseContent::Changes(changes)) => {
                 sources.apply_changes(*kind, position, &changes)
             }
-            _ => self.listed_items.clear(),
+            _ => self.listed.clear(),
+        }
+    }
+
+    /// Takes what is needed from a page of a list. The objects, of which those of other writers may be large, are not
+    /// kept.
+    fn collect(&mut self, items: &[Object]) {
+        let Inputs { sources, kind, .. } = &self.inputs;
+        match kind {
+            ObjectKind::Config => sources.adopt_objects(items),
+            ObjectKind::Upstreams => self.listed.extend(sources.decode_upstreams(items)),
         }
     }
 }
@@ -218,14 +229,13 @@
         Call::List { after, is_current } => {
             let Response { epoch, body: page } =
                 store.list(name, after.as_deref(), *is_current).await?;
-            let last = page.items.last().map(|item| object::name(item).to_owned());
             let position = Position {
                 epoch: epoch.unwrap_or(known_epoch),
                 revision: page.revision,
             };
             let outcome = CallOutcome::Page {
                 position,
-                next: last.filter(|_| page.more),
+                next: page.next,
             };
             Ok((outcome, ResponseContent::Page(page.items)))
         }
--- a/crates/skylarkflow/src/steer_registration.rs
+++ b/crates/skylarkflow/src/steer_registration.rs
@@ -2,10 +2,9 @@
 
 use {
     crate::{event, metrics::Counter, steer_sources::TableSources, steer_state::State},
-    serde_json::Value,
     skylarkflow_adapter::{
         client::{Response, Store},
-        object::{self, Registration},
+        object::{self, Object, Registration},
     },
     skylarkflow_steering::{
         gossip::{Name, PeerInfo, Role},
@@ -138,19 +137,19 @@
             for item in &page.items {
                 self.sort_entry(now_unix, item, &mut listing);
             }
-            after = page.items.last().map(|item| object::name(item).to_owned());
-            if !page.more {
+            after = page.next;
+            if after.is_none() {
                 return Ok(listing);
             }
         }
     }
 
     /// Adds the entry of a balancer to the listing; one of another writer that cannot be decoded is skipped.
-    fn sort_entry(&self, now_unix: Duration, item: &Value, listing: &mut Listing) {
+    fn sort_entry(&self, now_unix: Duration, item: &Object, listing: &mut Listing) {
         let Ok(entry) = object::decode_registration(item) else {
             return;
         };
-        let name = object::name(item).to_owned();
+        let name = item.name.clone();
         if name == self.local.name {
             listing.own = Some(entry);
         } else if age(&entry, now_unix) < ENTRY_MAX_AGE {
@@ -160,7 +159,7 @@
                 address: entry.address,
             });
         } else {
-            listing.expired.push((name, object::revision(item)));
+            listing.expired.push((name, item.revision));
         }
     }
 
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -6,14 +6,13 @@
         metrics::{Counter, Gauge},
         steer_state::State,
     },
-    serde_json::Value,
-    skylarkflow_adapter::object,
+    skylarkflow_adapter::object::{self, Object},
     skylarkflow_peer::tables::Tables,
     skylarkflow_steering::{
         directory::{self, Directory, EntryRevision},
         gossip::Freshness,
         lifecycle::Phase,
-        position::{Epoch, Position},
+        position::{Epoch, Position, Revision},
         table::{Adoption, Config, Routes},
         upstream::Record,
     },
@@ -183,24 +182,27 @@
         taken_position
     }
 
-    /// Replaces the objects of a kind by a complete list of the store at a position.
-    pub fn replace_all(&self, kind: ObjectKind, store_position: Position, items: &[Value]) {
-        match kind {
-            ObjectKind::Config => items.iter().for_each(|item| self.adopt_object(item)),
-            ObjectKind::Upstreams => {
-                let records = items
-                    .iter()
-                    .filter_map(|item| Some((object::revision(item), self.decode_upstream(item)?)));
-                let records = records.collect();
-                let now = self.state.clock.now();
-                let mut inputs = self.inputs();
-                inputs.directory.replace(now, store_position, records);
-                inputs.advance_position(store_position);
-                let contradicted = inputs.directory.contradicted_count();
-                drop(inputs);
-                self.record_contradictions(contradicted);
-            }
-        }
+    /// Adopts the configuration among listed objects.
+    pub fn adopt_objects(&self, items: &[Object]) {
+        items.iter().for_each(|item| self.adopt_object(item));
+        self.publish_table();
+    }
+
+    /// Decodes the entries of upstreams among listed objects, each with its revision.
+    pub fn decode_upstreams(&self, items: &[Object]) -> Vec<(Revision, Record)> {
+        let entry = |item: &Object| Some((item.revision, self.decode_upstream(item)?));
+        items.iter().filter_map(entry).collect()
+    }
+
+    /// Replaces the upstreams by a complete list of the store at a position.
+    pub fn replace_upstreams(&self, store_position: Position, records: Vec<(Revision, Record)>) {
+        let now = self.state.clock.now();
+        let mut inputs = self.inputs();
+        inputs.directory.replace(now, store_position, records);
+        inputs.advance_position(store_position);
+        let contradicted = inputs.directory.contradicted_count();
+        drop(inputs);
+        self.record_contradictions(contradicted);
         self.publish_table();
     }
 
@@ -229,7 +231,7 @@
     fn apply_upstream_change(&self, store_position: Position, change: &object::Change) {
         let now = self.state.clock.now();
         let entry_revision = EntryRevision {
-            revision: object::revision(&change.object),
+            revision: change.object.revision,
             store_position,
         };
         let record = if change.removed {
@@ -242,7 +244,7 @@
                 .event_log
                 .record(&event::UPSTREAM_REGISTERED, format_args!("{record:?}"));
             self.inputs().directory.insert(now, entry_revision, record);
-        } else if let Some(id) = object::upstream_id(object::name(&change.object))
+        } else if let Some(id) = object::upstream_id(&change.object.name)
             && (change.removed || self.inputs().directory.contains(id))
         {
             self.state
@@ -252,14 +254,14 @@
         }
     }
 
-    fn decode_upstream(&self, object: &Value) -> Option<Record> {
+    fn decode_upstream(&self, object: &Object) -> Option<Record> {
         object::decode_upstream(object)
             .inspect_err(|malformed| self.record_malformed(malformed))
             .ok()
     }
 
-    fn adopt_object(&self, object: &Value) {
-        if object::name(object) != object::CONFIG_NAME {
+    fn adopt_object(&self, object: &Object) {
+        if object.name != object::CONFIG_NAME {
             return;
         }
         match object::decode_config(object) {
--- a/crates/skylarkflow/tests/restored_store.rs
+++ b/crates/skylarkflow/tests/restored_store.rs
@@ -8,7 +8,6 @@
         caller::{Caller, Outcome},
         objects::UpstreamEntry,
         store::{Fault, Snapshot},
-        upstream::Upstream,
     },
     std::{
         net::{Ipv4Addr, SocketAddr, SocketAddrV4},
@@ -16,8 +15,8 @@
         time::{Duration, Instant},
     },
     support::steering::{
-        POOL, SERVICE, Site, TIMEOUT, new_caller, ready_entry, start_site, wait_for_answer,
-        wait_for_answer_of, wait_for_event,
+        POOL, SERVICE, Site, TIMEOUT, add_upstream, draining_entry, new_caller, ready_entry,
+        start_site, wait_for_answer, wait_for_answer_of, wait_for_event, wait_until_only,
     },
     tokio::{runtime::Runtime, time},
 };
@@ -34,10 +33,6 @@
 /// Time within which live upstreams have registered again after a restore, as the platform states it.
 const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
-/// Flows in a row that only the expected upstream must answer; with two in use, a row of one comes about by chance once in
-/// a million.
-const REQUIRED_FLOWS: u32 = 20;
-
 /// Interval at which a condition is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -123,41 +118,6 @@
     });
 }
 
-fn draining_entry(address: SocketAddr) -> UpstreamEntry {
-    UpstreamEntry {
-        is_draining: true,
-        ..ready_entry(address)
-    }
-}
-
-/// Starts an upstream with the identifier 8 and registers it.
-async fn add_upstream(site: &Site, net: u8) -> Upstream {
-    let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 9), 0));
-    let added = Upstream::start(8, address, site.port).await;
-    let added = added.expect("another upstream");
-    site.store.register(8, &ready_entry(added.address));
-    added
-}
-
-/// Waits until the last flows were all answered by an upstream.
-async fn wait_until_only(site: &Site, caller: &Caller, ports: Range<u16>, upstream: u64) {
-    let start = Instant::now();
-    let mut consecutive = 0;
-    for port in ports {
-        let is_expected = wait_for_answer(site, caller, port).await == upstream;
-        consecutive = if is_expected { consecutive + 1 } else { 0 };
-        if consecutive == REQUIRED_FLOWS {
-            return;
-        }
-        assert!(
-            start.elapsed() < TIMEOUT,
-            "other upstreams still get new flows after {TIMEOUT:?}"
-        );
-        time::sleep(POLL_INTERVAL).await;
-    }
-    panic!("other upstreams still get new flows");
-}
-
 /// Restores the store and checks that all flows which are opened before upstreams have to be registered again are
 /// answered by `upstream`.
 async fn assert_only_after_restore(
--- a/crates/skylarkflow/tests/support/steering.rs
+++ b/crates/skylarkflow/tests/support/steering.rs
@@ -10,6 +10,7 @@
     std::{
         fs,
         net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+        ops::Range,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         time::{Duration, Instant},
@@ -27,6 +28,13 @@
 /// Timeout for a condition, long enough for a busy machine.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Flows in a row that only the expected upstream must answer; with two in use, a row of one comes about by chance once in
+/// a million.
+const REQUIRED_FLOWS: u32 = 20;
+
+/// Pause between two flows in a row.
+const FLOW_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A `steer` process with an emulated store and upstream.
 pub struct Site {
     pub store: Store,
@@ -66,6 +74,19 @@
     }
 }
 
+/// Starts a balancer, which appends its log to that of earlier ones.
+pub fn start_balancer(settings: &Path) -> Child {
+    let log = settings.with_file_name("log");
+    let log = fs::File::options().create(true).append(true).open(log);
+    Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
+        .args(["steer", "--settings"])
+        .arg(settings)
+        .stdout(log.expect("a log"))
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("a balancer")
+}
+
 pub async fn start_site(net: u8) -> Site {
     let folder = tempfile::tempdir().expect("a folder");
     let ip = Ipv4Addr::new(127, net, 0, 1);
@@ -82,14 +103,7 @@
     let initial_objects = store.snapshot();
     let path = folder.path().join("settings.yaml");
     fs::write(&path, settings_yaml(ip, port, store.address)).expect("settings");
-    let log = fs::File::create(folder.path().join("log")).expect("a log");
-    let balancer = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
-        .args(["steer", "--settings"])
-        .arg(&path)
-        .stdout(log)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("a balancer");
+    let balancer = start_balancer(&path);
     Site {
         store,
         initial_objects,
@@ -150,3 +164,39 @@
         time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Returns the entry of an upstream of the pool that is draining.
+pub fn draining_entry(address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        is_draining: true,
+        ..ready_entry(address)
+    }
+}
+
+/// Starts an upstream with the identifier 8 and registers it.
+pub async fn add_upstream(site: &Site, net: u8) -> Upstream {
+    let address = SocketAddr::from((Ipv4Addr::new(127, net, 0, 9), 0));
+    let added = Upstream::start(8, address, site.port).await;
+    let added = added.expect("another upstream");
+    site.store.register(8, &ready_entry(added.address));
+    added
+}
+
+/// Waits until the last flows were all answered by an upstream.
+pub async fn wait_until_only(site: &Site, caller: &Caller, ports: Range<u16>, upstream: u64) {
+    let start = Instant::now();
+    let mut consecutive = 0;
+    for port in ports {
+        let is_expected = wait_for_answer(site, caller, port).await == upstream;
+        consecutive = if is_expected { consecutive + 1 } else { 0 };
+        if consecutive == REQUIRED_FLOWS {
+            return;
+        }
+        assert!(
+            start.elapsed() < TIMEOUT,
+            "other upstreams still get new flows after {TIMEOUT:?}"
+        );
+        time::sleep(FLOW_INTERVAL).await;
+    }
+    panic!("other upstreams still get new flows");
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod finding;
 pub mod http;
+pub mod json;
 pub mod object;
 pub mod plan;
 pub mod store;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -39,7 +39,7 @@
     ///
     /// Fails if the platform does not respond within 2 s.
     pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        self.fetch(&format!("/v1/objects?prefix={prefix}"), Duration::ZERO)
+        self.fetch_listing(&format!("/v1/objects?prefix={prefix}"), Duration::ZERO)
             .await
     }
 
@@ -51,7 +51,7 @@
     pub async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Listing> {
         let seconds = wait.as_secs();
         let path = format!("/v1/watch?prefix={prefix}&after={revision}&wait={seconds}");
-        self.fetch(&path, wait).await
+        self.fetch_listing(&path, wait).await
     }
 
     /// Writes an object if its version is still `version`; 0 means that it must not exist.
@@ -105,6 +105,12 @@
         Ok(list.vms)
     }
 
+    async fn fetch_listing(&self, path: &str, wait: Duration) -> Result<Listing> {
+        let request = self.http.request(Method::GET, path);
+        let body = self.http.send(request, wait).await?.bytes().await?;
+        Ok(Listing::from_slice(&body)?)
+    }
+
     async fn fetch<T: DeserializeOwned>(&self, path: &str, wait: Duration) -> Result<T> {
         let request = self.http.request(Method::GET, path);
         Ok(self.http.send(request, wait).await?.json().await?)
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -1,6 +1,7 @@
 //! JSON types of the store's API and of the configuration objects.
 
 use {
+    crate::json,
     serde::{Deserialize, Serialize},
     skylarkflow_policy::{config, id::Generation, vm},
     std::{net::SocketAddr, time::Duration},
@@ -35,6 +36,28 @@
     pub objects: Vec<Object>,
 }
 
+impl Listing {
+    /// Reads a response; objects that cannot be read are left out, so that the others stay usable.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the response has not the form of a listing.
+    pub fn from_slice(text: &[u8]) -> serde_json::Result<Listing> {
+        let members = json::members(text).unwrap_or_default();
+        let objects = json::member(&members, "objects").and_then(json::elements);
+        let (Some(objects), Some(revision)) = (objects, json::member(&members, "revision")) else {
+            return serde_json::from_slice(text);
+        };
+        let objects = objects.into_iter();
+        Ok(Listing {
+            revision: serde_json::from_slice(revision)?,
+            objects: objects
+                .filter_map(|object| serde_json::from_slice(object).ok())
+                .collect(),
+        })
+    }
+}
+
 /// Response to a write.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WriteResponse {
