Read the current store in each zone when balancers start

Cause: first lists come from copies, and no zone has a reader in the first 4 s, so nobody read the current store.

Change: the two balancers of each zone that list for the others at a start read the current state of the store as well, and a request for it waits for the first list instead of being lost. At the very first start, when nobody else is registered, there is no such read.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -116,7 +116,7 @@
     5118 STORE_RESPONSE Debug "store" "The store has responded to a list or a watch.";
     5119 UPSTREAMS_CONTRADICTED Warn "upstream"
         "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
-    5120 STORE_READ_REQUESTED Info "store" "Peers have newer tables and none supplies them, so the store is read.";
+    5120 STORE_READ_REQUESTED Info "store" "The current state of the store is read at the start, or as peers have newer tables and none supplies them.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -79,7 +79,8 @@
 
     fn read_store(&self, state: &State) {
         self.store_reads.send_modify(|count| *count += 1);
-        let text = format_args!("no peer supplies its newer tables");
+        let now = state.clock.now();
+        let text = format_args!("{now:?} after the start");
         state.event_log.record(&event::STORE_READ_REQUESTED, text);
     }
 
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -176,7 +176,8 @@
     ProbeUpstream(UpstreamId),
     /// List the store without waiting for the tables of a peer.
     ListStore,
-    /// Read the current state of the store, as a peer knows newer tables and none supplies them.
+    /// Read the current state of the store: a peer knows newer tables and none supplies them, or this balancer has just
+    /// started and lists the store for its peers.
     ReadStore,
     /// Take on a role.
     SetRole(Role),
@@ -315,6 +316,11 @@
             self.has_registered_peers = true;
             if self.rank() < self.settings.initial_listers {
                 self.actions.push(Action::ListStore);
+                // The zone has no reader for some seconds if all balancers were restarted, and the lists of all may come
+                // from a replica that lags. At the very first start, no other balancer is registered.
+                if !self.members.is_empty() {
+                    self.actions.push(Action::ReadStore);
+                }
             }
         }
     }
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -143,6 +143,8 @@
     failures: u32,
     peer_tables: PeerTables,
     role: Role,
+    /// Whether a list of the current state has to follow the one in progress.
+    needs_current_list: bool,
 }
 
 impl ListWatch {
@@ -164,6 +166,7 @@
             failures: 0,
             peer_tables: PeerTables::default(),
             role: Role::default(),
+            needs_current_list: false,
         }
     }
 
@@ -213,10 +216,11 @@
         }
     }
 
-    /// Schedules a list of the current state, unless the first list or another one is in progress.
+    /// Schedules a list of the current state; after the list in progress, if that may come from a replica.
     pub fn request_current_list(&mut self, now: Duration) {
-        if self.position.is_some() && matches!(self.next_call, Call::Watch { .. }) {
-            self.schedule_relist(now);
+        match self.next_call {
+            Call::Watch { .. } => drop(self.schedule_relist(now)),
+            Call::List { is_current, .. } => self.needs_current_list = !is_current,
         }
     }
 
@@ -328,6 +332,9 @@
             return self.schedule_relist(now + self.settings.initial_backoff);
         }
         self.schedule_watch(now, oldest);
+        if self.needs_current_list {
+            self.schedule_relist(now);
+        }
         ContentAction::Replace
     }
 
@@ -377,6 +384,7 @@
 
     fn schedule_relist(&mut self, due: Duration) -> ContentAction {
         self.list_position = None;
+        self.needs_current_list = false;
         self.next_call_at = due;
         self.next_call = Call::List {
             after: None,
