Keep a request for the current store when a peer's tables replace the first list

A balancer that reads the current store at its start lost the request if the tables of a peer arrived before the end of its first list; they may be as old as the list. Found by reading; the new test of list_watch fails without the change.

--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -240,6 +240,9 @@
             PeerTables::Received(position) if self.position.is_none() => {
                 self.list_position = None;
                 self.schedule_watch(now, position);
+                if self.needs_current_list {
+                    self.schedule_relist(now);
+                }
                 true
             }
             PeerTables::Unavailable if self.position.is_none() && self.list_position.is_some() => {
--- a/crates/steering/tests/list_watch.rs
+++ b/crates/steering/tests/list_watch.rs
@@ -250,3 +250,22 @@
     let (_, call) = starting.next_call();
     assert!(matches!(call, Call::Watch { revision: 12, .. }), "{call:?}");
 }
+
+/// Guards against the same loss when the tables of a peer, which may be old as well, replace the first list.
+#[test]
+fn a_request_for_the_current_state_outlives_a_first_list_that_is_not_finished() {
+    let now = Duration::from_secs(1);
+    let mut list_watch = list_watch();
+    list_watch.handle_outcome(now, page(10, Some("m")));
+    list_watch.request_current_list(now);
+    assert!(list_watch.set_peer_tables(now, PeerTables::Received(at(11))));
+    let (_, call) = list_watch.next_call();
+    let is_current_list = matches!(
+        call,
+        Call::List {
+            after: None,
+            is_current: true
+        }
+    );
+    assert!(is_current_list, "{call:?}");
+}
