--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -20,7 +20,8 @@
     serde::Deserialize,
     skylarkflow_peer::{report, tables},
     skylarkflow_steering::{
-        gossip::{self, Action, Freshness, Gossip, PeerInfo, Report, Role},
+        fetches,
+        gossip::{Action, Freshness, Gossip, PeerInfo, Report, Role},
         list_watch::PeerTables,
         position::{Epoch, Position, Revision},
         table::Version,
@@ -238,7 +239,7 @@
     let url = format!("http://{address}{TABLES_PATH}?version={version}&revision={revision}");
     // Balancers of earlier versions, which know no epochs, ignore the last parameter.
     let url = format!("{url}&epoch={epoch}");
-    let timeout = gossip::Settings::default().fetch_timeout;
+    let timeout = fetches::Settings::default().timeout;
     let response = client.get(url).timeout(timeout).send().await?;
     // Sending only fails when the receiver was dropped because the process is exiting.
     let _ = progress.send(FetchProgress::Responding(address));
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -9,6 +9,7 @@
 
 use {
     crate::{
+        fetches::{self, Fetches},
         position::Position,
         table::Version,
         upstream::{UpstreamId, ZoneName},
@@ -60,17 +61,8 @@
     /// Number of balancers of each zone, in the order of names, that list the store at their start without waiting for
     /// the tables of a peer; two, so that the loss of one causes no delay.
     pub initial_listers: usize,
-    /// Timeout of a fetch of a peer's tables.
-    pub fetch_timeout: Duration,
-    /// Time without a response to a fetch after which another source is tried as well: the peer may be frozen. It is
-    /// longer than the pauses of a balancer whose CPU quota is used up.
-    pub hedge_delay: Duration,
-    /// Maximum number of fetches at a time.
-    pub max_fetches: usize,
-    /// Time for which peers are avoided after a fetch from them has failed, if others have newer tables.
-    pub failure_memory: Duration,
-    /// Minimum time between two fetches from a peer after the first one has failed.
-    pub fetch_retry_delay: Duration,
+    /// Fetches of the tables of peers.
+    pub fetches: fetches::Settings,
     /// Minimum time between two requests to read the store because no peer supplies its newer tables.
     pub min_store_read_interval: Duration,
 }
@@ -93,11 +85,7 @@
             first_election_delay: Duration::from_secs(4),
             takeover_delay: Duration::from_millis(100),
             initial_listers: 2,
-            fetch_timeout: Duration::from_millis(1_500),
-            hedge_delay: Duration::from_millis(400),
-            max_fetches: 3,
-            failure_memory: Duration::from_secs(3),
-            fetch_retry_delay: Duration::from_millis(600),
+            fetches: fetches::Settings::default(),
             min_store_read_interval: Duration::from_secs(3),
         }
     }
@@ -190,14 +178,6 @@
     freshness: Freshness,
 }
 
-/// A fetch in progress.
-#[derive(Clone, Copy, Debug)]
-struct Fetch {
-    started_at: Duration,
-    /// Whether the response has begun, so that the peer is alive and only the transfer takes time.
-    has_response: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct KnownHeartbeat {
     incarnation: u64,
@@ -227,10 +207,7 @@
     reader_missing_since: Option<Duration>,
     /// Time since which a peer has had newer tables.
     behind_since: Option<Duration>,
-    /// Fetches in progress.
-    fetches: Map<SocketAddr, Fetch>,
-    /// Time of the last failed fetch from a peer.
-    failed_fetches: Map<SocketAddr, Duration>,
+    fetches: Fetches,
     /// Time of the last [`Action::ReadStore`].
     store_read_at: Option<Duration>,
     /// Whether the registered balancers were read from the store.
@@ -257,8 +234,7 @@
             unreachable_since: None,
             reader_missing_since: None,
             behind_since: None,
-            fetches: Map::default(),
-            failed_fetches: Map::default(),
+            fetches: Fetches::new(settings.fetches),
             store_read_at: None,
             has_registered_peers: false,
             actions: Vec::new(),
@@ -335,19 +311,12 @@
 
     /// Records that the response to a fetch has begun.
     pub fn record_fetch_response(&mut self, address: SocketAddr) {
-        if let Some(fetch) = self.fetches.get_mut(&address) {
-            fetch.has_response = true;
-        }
+        self.fetches.record_response(address);
     }
 
     /// Records that a fetch of tables has succeeded or failed.
     pub fn finish_fetch(&mut self, now: Duration, address: SocketAddr, has_succeeded: bool) {
-        self.fetches.remove(&address);
-        if has_succeeded {
-            self.failed_fetches.remove(&address);
-        } else {
-            self.failed_fetches.insert(address, now);
-        }
+        self.fetches.finish(now, address, has_succeeded);
     }
 
     /// Records how new the tables of this balancer are.
@@ -514,16 +483,18 @@
     }
 
     fn fetch_newer_tables(&mut self, now: Duration) {
-        self.forget_old_fetches(now);
+        self.fetches.expire(now);
         if !self.members_ahead(now).any(|_| true) {
             self.behind_since = None;
             return;
         }
         let since = *self.behind_since.get_or_insert(now);
-        if self.is_waiting_for_peer(now) {
+        // The tables of a balancer that has just started take long over a slow link, which a second transfer would load
+        // further.
+        if self.fetches.is_waiting(now, !self.knows_nothing()) {
             return;
         }
-        let is_retry = !self.fetches.is_empty() || !self.failed_fetches.is_empty();
+        let is_retry = self.fetches.is_retrying();
         let Some(source) = self.next_source(now) else {
             if is_retry {
                 self.read_store(now);
@@ -535,23 +506,15 @@
         let is_urgent =
             is_retry || self.is_store_unreachable || self.knows_nothing() || relies_on_peer;
         if is_urgent || now >= since + self.settings.fetch_delay {
-            self.start_fetch(now, address);
+            self.behind_since = Some(now);
+            self.fetches.start(now, address);
+            self.actions.push(Action::FetchTables {
+                address,
+                freshness: self.freshness,
+            });
         }
     }
 
-    fn start_fetch(&mut self, now: Duration, address: SocketAddr) {
-        self.behind_since = Some(now);
-        let fetch = Fetch {
-            started_at: now,
-            has_response: false,
-        };
-        self.fetches.insert(address, fetch);
-        self.actions.push(Action::FetchTables {
-            address,
-            freshness: self.freshness,
-        });
-    }
-
     /// Requests the current state of the store; a balancer that has just started lists it anyway.
     fn read_store(&mut self, now: Duration) {
         let interval = self.settings.min_store_read_interval;
@@ -566,32 +529,6 @@
         self.freshness.position == Position::default()
     }
 
-    fn forget_old_fetches(&mut self, now: Duration) {
-        let Settings {
-            fetch_timeout,
-            failure_memory,
-            ..
-        } = self.settings;
-        let is_over = |_: &SocketAddr, fetch: &mut Fetch| now >= fetch.started_at + fetch_timeout;
-        let expired = self.fetches.extract_if(is_over);
-        self.failed_fetches
-            .extend(expired.map(|(address, _)| (address, now)));
-        self.failed_fetches
-            .retain(|_, failed_at| now < *failed_at + failure_memory);
-    }
-
-    /// Returns whether a fetch in progress is likely to succeed, or no further one may be started.
-    ///
-    /// The tables of a balancer that has just started take long over a slow link, which a second transfer would load
-    /// further.
-    fn is_waiting_for_peer(&self, now: Duration) -> bool {
-        let hedge_delay = self.settings.hedge_delay;
-        let mut fetches = self.fetches.values();
-        fetches.any(|fetch| {
-            fetch.has_response || now < fetch.started_at + hedge_delay || self.knows_nothing()
-        }) || self.fetches.len() >= self.settings.max_fetches
-    }
-
     /// Returns the peers with newer tables that were heard recently.
     fn members_ahead(&self, now: Duration) -> impl Iterator<Item = &Member> {
         let heartbeat_timeout = self.settings.heartbeat_timeout;
@@ -611,17 +548,12 @@
     /// traffic between zones costs money. Of several, the one with the newest tables that was heard last is the least
     /// likely to have ended.
     fn next_source(&self, now: Duration) -> Option<&Member> {
-        let retry_delay = self.settings.fetch_retry_delay;
-        let failed_at = |member: &Member| self.failed_fetches.get(&member.info.address).copied();
-        let is_usable = |member: &&Member| {
-            !self.fetches.contains_key(&member.info.address)
-                && failed_at(member).is_none_or(|at| now >= at + retry_delay)
-        };
+        let is_usable = |member: &&Member| self.fetches.is_available(now, member.info.address);
         self.members_ahead(now)
             .filter(is_usable)
             .max_by_key(|member| {
                 (
-                    Reverse(failed_at(member)),
+                    Reverse(self.fetches.failed_at(member.info.address)),
                     member.info.zone == self.local.zone,
                     member.freshness,
                     member.last_heard,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod directory;
 mod directory_entry;
 pub mod fault_injection;
+pub mod fetches;
 pub mod gossip;
 pub mod lifecycle;
 pub mod list_watch;
