Split the gossip module and its tests by concern

The types of reports move to report.rs, which gossip re-exports, the emulated fleet of the tests to support/fleet.rs, and the tests of frozen and restarted balancers to frozen_peers.rs.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod liveness;
 pub mod placement;
 pub mod position;
+pub mod report;
 pub mod segment;
 pub mod table;
 pub mod tracker;
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod fleet;
+
 use {
     skylarkflow_policy::flow::Key,
     skylarkflow_steering::{
