Add what placement and admission need to know of routes

Cause: nothing in the path with direct return knew how urgent a route is, when its callers give up, how many requests a cold upstream bears, or how large and how late a response was, so no decision under load could use it.

--- a/crates/peer/src/tables.rs
+++ b/crates/peer/src/tables.rs
@@ -6,7 +6,7 @@
     skylarkflow_steering::{
         directory::{Change, Update},
         position::{Epoch, Position},
-        table::{Config, Route, Target},
+        table::{Config, Level, Route, Target, Warmup},
         upstream::{Record, State},
     },
     std::{collections::BTreeMap, iter, net::SocketAddr, time::Duration},
@@ -40,8 +40,22 @@
     /// Heartbeat of the record in each change, 0 where there is none. Absent in messages of older versions.
     #[serde(default)]
     heartbeats: Vec<u64>,
+    /// Level of each route of the configuration. Absent in messages of older versions.
+    #[serde(default)]
+    levels: Vec<LevelWire>,
+    /// Warm-up by pool. Absent in messages of older versions.
+    #[serde(default)]
+    warmups: BTreeMap<String, WarmupWire>,
 }
 
+/// Priority, timeout and target latency in milliseconds; 0 if they are not known.
+#[derive(Default, Deserialize, Serialize)]
+struct LevelWire(u32, u64, u64);
+
+/// Duration in milliseconds and requests per second.
+#[derive(Deserialize, Serialize)]
+struct WarmupWire(u64, f64);
+
 /// Names of pools and zones, which records refer to by index.
 #[derive(Default, Deserialize, Serialize)]
 #[serde(transparent)]
@@ -88,7 +102,13 @@
             (change.id, change.revision, record)
         });
         let changes = changes.collect();
+        let config = tables.config.as_ref();
+        let levels = config.into_iter().flat_map(|config| &config.routes);
+        let warmups = config.into_iter().flat_map(|config| &config.warmups);
+        let warmup = |(pool, &warmup): (&String, &Warmup)| (pool.clone(), warmup.into());
         TablesWire {
+            levels: levels.map(|route| route.level.into()).collect(),
+            warmups: warmups.map(warmup).collect(),
             config: tables.config.map(Into::into),
             revision: tables.position.revision,
             names,
@@ -115,8 +135,16 @@
                 record: record.transpose()?,
             })
         });
+        let mut config: Option<Config> = wire.config.map(Into::into);
+        if let Some(config) = &mut config {
+            for (route, level) in config.routes.iter_mut().zip(wire.levels) {
+                route.level = level.into();
+            }
+            let warmups = wire.warmups.into_iter();
+            config.warmups = warmups.map(|(pool, wire)| (pool, wire.into())).collect();
+        }
         Ok(Tables {
-            config: wire.config.map(Into::into),
+            config,
             position: Position {
                 epoch: wire.epoch,
                 revision: wire.revision,
@@ -152,16 +180,55 @@
             name,
             address,
             targets: targets.into_iter().map(target).collect(),
+            level: Level::default(),
         };
         Config {
             version,
             routes: routes.into_iter().map(route).collect(),
             health_paths,
+            warmups: BTreeMap::new(),
             idle_timeout: Duration::from_millis(idle_ms),
         }
     }
 }
 
+impl From<Level> for LevelWire {
+    fn from(level: Level) -> LevelWire {
+        let millis = |time: Option<Duration>| time.unwrap_or_default().as_millis() as u64;
+        LevelWire(
+            level.priority,
+            millis(level.timeout),
+            millis(level.target_latency),
+        )
+    }
+}
+
+impl From<LevelWire> for Level {
+    fn from(LevelWire(priority, timeout_ms, target_ms): LevelWire) -> Level {
+        let duration = |millis: u64| (millis > 0).then(|| Duration::from_millis(millis));
+        Level {
+            priority,
+            timeout: duration(timeout_ms),
+            target_latency: duration(target_ms),
+        }
+    }
+}
+
+impl From<Warmup> for WarmupWire {
+    fn from(warmup: Warmup) -> WarmupWire {
+        WarmupWire(warmup.duration.as_millis() as u64, warmup.rate)
+    }
+}
+
+impl From<WarmupWire> for Warmup {
+    fn from(WarmupWire(millis, rate): WarmupWire) -> Warmup {
+        Warmup {
+            duration: Duration::from_millis(millis),
+            rate: if rate.is_finite() { rate.max(0.0) } else { 0.0 },
+        }
+    }
+}
+
 fn to_record_wire(names: &mut StringTable, record: Record) -> RecordWire {
     RecordWire(
         names.intern(record.pool),
--- a/crates/peer/tests/tables.rs
+++ b/crates/peer/tests/tables.rs
@@ -5,7 +5,7 @@
     skylarkflow_steering::{
         directory::{Change, Update},
         position::Position,
-        table::{Config, Route, Target},
+        table::{Config, Level, Route, Target, Warmup},
         upstream::{Record, State},
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -42,12 +42,22 @@
             pool: "pool-1".to_owned(),
             weight: 3,
         }],
+        level: Level {
+            priority: 2,
+            timeout: Some(Duration::from_secs(1)),
+            target_latency: None,
+        },
+    };
+    let warmup = Warmup {
+        duration: Duration::from_secs(2),
+        rate: 7.5,
     };
     Tables {
         config: Some(Config {
             version: 9,
             routes: vec![route],
             health_paths: BTreeMap::from([("pool-1".to_owned(), "/health".to_owned())]),
+            warmups: BTreeMap::from([("pool-1".to_owned(), warmup)]),
             idle_timeout: Duration::from_secs(15),
         }),
         position: Position {
--- a/crates/skylarkflow/src/bench_steer.rs
+++ b/crates/skylarkflow/src/bench_steer.rs
@@ -21,7 +21,7 @@
         lifecycle::{Phase, Starting},
         position::Position,
         segment::{Kind, Segment},
-        table::{Config, Route, Routes, Table, Target},
+        table::{Config, Level, Route, Routes, Table, Target},
         upstream::{Record, State as UpstreamState},
     },
     std::{
@@ -95,12 +95,14 @@
             pool: format!("pool-{}", index % addresses.min(upstreams)),
             weight: 1,
         }],
+        level: Level::default(),
     };
     let mut routes = Routes::default();
     routes.adopt(Config {
         version: 1,
         routes: (0..addresses).map(route).collect(),
         health_paths: BTreeMap::new(),
+        warmups: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
     });
     routes
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -34,6 +34,8 @@
     pub peers: Peers,
     /// Time limits that the platform guarantees.
     pub bounds: Bounds,
+    /// Decisions that follow the load.
+    pub load: Load,
     /// Logging.
     pub log: Log,
 }
@@ -58,6 +60,38 @@
     pub grace_seconds: f64,
 }
 
+/// Decisions that follow the load.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Load {
+    /// How the upstream of a new flow is chosen.
+    pub placement: Placement,
+    /// Whether new flows are refused when upstreams have no room.
+    pub admission: Admission,
+}
+
+/// How the upstream of a new flow is chosen.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Placement {
+    /// By the flows and requests that this balancer has placed.
+    #[default]
+    Counts,
+    /// By the remaining work that is learned from responses.
+    Learned,
+}
+
+/// Whether new flows are refused when upstreams have no room.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Admission {
+    /// All are admitted.
+    #[default]
+    None,
+    /// The admitted share follows the refusals of upstreams.
+    Adaptive,
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
@@ -70,6 +104,7 @@
             store: SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)),
             peers: Peers::default(),
             bounds: Bounds::default(),
+            load: Load::default(),
             log: Log::default(),
         }
     }
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -412,7 +412,7 @@
             is_last,
         };
         match self.tracker.record_packet(now, &packet, upstream) {
-            Evidence::Answered => {
+            Evidence::Answered(_) => {
                 self.record_signal(now, upstream, Signal::Answered);
                 self.liveness.record_answer(now, id);
             }
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -24,6 +24,26 @@
     pub weight: u32,
 }
 
+/// What the callers of a route need.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Level {
+    /// Priority of its requests; 0 is the most urgent.
+    pub priority: u32,
+    /// Time after which a caller gives a request up; `None` if the configuration does not state it.
+    pub timeout: Option<Duration>,
+    /// Latency that callers aim at; `None` if the configuration does not state it.
+    pub target_latency: Option<Duration>,
+}
+
+/// Warm-up of the upstreams of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Warmup {
+    /// Time after the start of an upstream in which it is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold upstream can process; 0 if the configuration states no limit.
+    pub rate: f64,
+}
+
 /// Route from the address of a service to the pools that serve it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Route {
@@ -33,10 +53,12 @@
     pub address: SocketAddr,
     /// Pools that serve it.
     pub targets: Vec<Target>,
+    /// What its callers need.
+    pub level: Level,
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// Version; a higher one is newer.
     pub version: Version,
@@ -44,6 +66,8 @@
     pub routes: Vec<Route>,
     /// Path of the health check of the upstreams, by pool.
     pub health_paths: BTreeMap<PoolName, String>,
+    /// Warm-up of the upstreams, by pool.
+    pub warmups: BTreeMap<PoolName, Warmup>,
     /// Time without a packet after which a flow may be dropped from the flow tracker.
     pub idle_timeout: Duration,
 }
@@ -76,6 +100,8 @@
     pub addresses: Arc<Map<SocketAddr, Claim>>,
     /// Path of the health check of the upstreams, by pool.
     pub health_paths: Arc<BTreeMap<PoolName, String>>,
+    /// Warm-up of the upstreams, by pool.
+    pub warmups: Arc<BTreeMap<PoolName, Warmup>>,
     /// Pools that the configuration names.
     pub pool_names: Arc<Set<PoolName>>,
 }
@@ -108,6 +134,7 @@
     routes: Arc<Map<SocketAddr, Route>>,
     removed: Arc<Set<SocketAddr>>,
     health_paths: Arc<BTreeMap<PoolName, String>>,
+    warmups: Arc<BTreeMap<PoolName, Warmup>>,
     pool_names: Arc<Set<PoolName>>,
 }
 
@@ -162,6 +189,7 @@
         );
         self.routes = Arc::new(routes);
         self.health_paths = Arc::new(config.health_paths.clone());
+        self.warmups = Arc::new(config.warmups.clone());
         self.pool_names = Arc::new(config.pool_names());
         self.config = Some(config);
         Adoption::Adopted
@@ -180,6 +208,7 @@
             cookies: view.cookies,
             addresses: view.addresses,
             health_paths: Arc::clone(&self.health_paths),
+            warmups: Arc::clone(&self.warmups),
             pool_names: Arc::clone(&self.pool_names),
         })
     }
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -6,7 +6,7 @@
 use {
     crate::upstream::{Load, Upstream, UpstreamId},
     skylarkflow_policy::{flow::Key, id::Map},
-    std::{collections::VecDeque, sync::Arc, time::Duration},
+    std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Minimum time after which a second packet with the same data counts as a retransmission instead of a duplicate made
@@ -43,11 +43,22 @@
     }
 }
 
+/// What the first acknowledgement of a response shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Response {
+    /// Address of the route.
+    pub service: SocketAddr,
+    /// Time since the request.
+    pub latency: Duration,
+    /// Number of bytes that are acknowledged: all of a short response, the first packets of a longer one.
+    pub bytes: u32,
+}
+
 /// What a packet of a caller shows about the upstream of its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Evidence {
-    /// The upstream has answered since the caller's previous packet.
-    Answered,
+    /// The upstream has answered since the caller's previous packet: a request, or the opening packet.
+    Answered(Option<Response>),
     /// The caller has retransmitted a packet, as the upstream did not acknowledge it.
     Retransmitted,
     /// The packet shows neither.
@@ -307,7 +318,7 @@
                 let sent = self.finish_request();
                 push_sample(&mut samples.openings, now, sent);
                 self.start_request_with_data(now, packet);
-                Evidence::Answered
+                Evidence::Answered(None)
             }
             Phase::Open => self.observe_open(now, packet, samples),
             Phase::Closed => Evidence::None,
@@ -320,11 +331,18 @@
         packet: &Packet,
         samples: &mut LatencySamples,
     ) -> Evidence {
-        let is_newer = packet.acknowledged.wrapping_sub(self.acknowledged) as i32 > 0;
+        let new_bytes = packet.acknowledged.wrapping_sub(self.acknowledged) as i32;
+        let is_newer = new_bytes > 0;
+        let mut response = None;
         if is_newer {
             self.acknowledged = packet.acknowledged;
             let sent = self.finish_request();
             push_sample(&mut samples.requests, now, sent);
+            response = sent.map(|sent| Response {
+                service: packet.key.service,
+                latency: now.saturating_sub(sent),
+                bytes: new_bytes.unsigned_abs(),
+            });
         }
         let retransmitted = self.request.filter(|request| {
             packet.has_data
@@ -336,7 +354,7 @@
         }
         self.start_request_with_data(now, packet);
         if is_newer {
-            Evidence::Answered
+            Evidence::Answered(response)
         } else {
             Evidence::None
         }
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -11,7 +11,7 @@
         directory::{self, Directory, View},
         position::{Position, Revision},
         segment::{Kind, Segment},
-        table::{Config, Route, Routes, Table, Target},
+        table::{Config, Level, Route, Routes, Table, Target},
         upstream::{Record, State, Upstream, UpstreamId},
     },
     std::{
@@ -68,11 +68,13 @@
             pool: "dispatch".to_owned(),
             weight: 1,
         }],
+        level: Level::default(),
     };
     Config {
         version,
         routes: addresses.iter().map(route).collect(),
         health_paths: BTreeMap::new(),
+        warmups: BTreeMap::new(),
         idle_timeout: Duration::from_secs(15),
     }
 }
