Hold packets until the first table, and reset none before the upstreams are known

Cause: after a loss of power in all zones the routers send packets to balancers that have no table yet. The balancers dropped them, so callers waited for their next copy; and a balancer that had read the routes but not yet the upstreams reset opening packets with "no upstream".

Counter steer.held.

--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -92,6 +92,8 @@
     PacketsUnknownCookie "steer.unknown_cookie" "packets"
         "Packets dropped because their cookie names no known upstream.";
     PacketsWithoutTable "steer.early" "packets" "Packets dropped because no table was active yet.";
+    PacketsHeld "steer.held" "packets"
+        "Packets held until the first table is active; those that get too old are discarded.";
     Placements "steer.placements" "flows" "Opening packets for which an upstream was chosen.";
     Replacements "steer.replacements" "flows" "Retransmitted opening packets for which another upstream was chosen.";
     Resets "steer.resets" "packets" "Resets sent to callers.";
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -13,6 +13,7 @@
     skylarkflow_steering::{
         balancer::{Action, Balancer, DropReason, Placement, ResetReason, Verdict},
         cookie::Cookie,
+        held_packets::HeldPackets,
         liveness::ProbeOutcome,
         segment::{Kind, Segment},
         table::Table,
@@ -53,6 +54,8 @@
     table: Option<Arc<Table>>,
     table_generation: u64,
     next_sweep: Duration,
+    /// Packets that arrived before the first table.
+    held: HeldPackets,
     channels: Channels,
 }
 
@@ -96,6 +99,7 @@
             table: None,
             table_generation: 0,
             next_sweep: Duration::ZERO,
+            held: HeldPackets::default(),
             channels,
         })
     }
@@ -132,8 +136,17 @@
         if let Some(Some(table)) = self.state.try_table() {
             self.balancer
                 .update_table(now, self.table.as_deref(), &table);
-            self.table = Some(table);
+            let is_first = self.table.replace(table).is_none();
             self.table_generation = table_generation;
+            if is_first {
+                self.handle_held_packets(now);
+            }
+        }
+    }
+
+    fn handle_held_packets(&mut self, now: Duration) {
+        for mut datagram in self.held.take(now) {
+            self.handle_packet(now, &mut datagram);
         }
     }
 
@@ -177,6 +190,9 @@
                 }
             }
             Verdict::Reset(reason) => self.send_reset(now, &segment, reason),
+            Verdict::Drop(DropReason::NoTable) if self.held.push(now, &segment, datagram) => {
+                self.state.metrics.count(Counter::PacketsHeld);
+            }
             Verdict::Drop(reason) => self.record_drop(now, &segment, reason),
         }
     }
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -88,6 +88,10 @@
 
     fn publish_table(&self) {
         let inputs = self.inputs();
+        if inputs.position.is_none() {
+            // Without any list of upstreams, callers would be told that there is none.
+            return;
+        }
         let Some(table) = inputs
             .routes
             .table(self.state.clock.now(), &inputs.directory)
@@ -101,9 +105,7 @@
         let known_revision = inputs.position.unwrap_or_default().revision;
         metrics.set(Gauge::StoreRevision, known_revision);
         self.state.publish_table(table);
-        if let Phase::Starting(starting) = self.state.phase()
-            && inputs.position.is_some()
-        {
+        if let Phase::Starting(starting) = self.state.phase() {
             self.state.set_phase(Phase::Serving(starting.serve()));
             self.state.event_log.record(
                 &event::STEERING_READY,
--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -6,7 +6,11 @@
 use {
     axum::{extract::Query, http::Uri},
     serde::Deserialize,
-    skylarkflow_adapter_emulator::{caller::Outcome, store::Store, upstream::Upstream},
+    skylarkflow_adapter_emulator::{
+        caller::Outcome,
+        store::{Fault, Store},
+        upstream::Upstream,
+    },
     skylarkflow_peer::tables,
     std::{
         fs,
@@ -15,7 +19,8 @@
         time::{Duration, Instant},
     },
     support::steering::{
-        SERVICE, TIMEOUT, new_caller, settings_yaml, start_site, wait_for_answer, wait_for_event,
+        SERVICE, TIMEOUT, new_caller, read_log, settings_yaml, start_balancer, start_site,
+        wait_for_answer, wait_for_event,
     },
     tokio::{runtime::Runtime, time},
 };
@@ -101,6 +106,41 @@
     });
 }
 
+/// Guards against a balancer that tells callers that no upstream takes flows while it knows the routes but has not read the
+/// upstreams yet.
+#[test]
+fn flows_are_not_reset_before_the_upstreams_are_known() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let mut site = start_site(61).await;
+        let caller = new_caller(&site, 61).await;
+        assert_eq!(wait_for_answer(&site, &caller, 2_000).await, 7);
+        site.store.set_fault(Fault::RefuseKind("servers"));
+        site.balancer.kill().expect("killed");
+        site.balancer.wait().expect("ended");
+        site.balancer = start_balancer(&site.settings);
+        let start = Instant::now();
+        while read_log(&site).matches("E5101").count() < 2 {
+            assert!(
+                start.elapsed() < TIMEOUT,
+                "no configuration within {TIMEOUT:?}"
+            );
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        let store = &site.store;
+        let recover = async {
+            time::sleep(Duration::from_millis(150)).await;
+            store.set_fault(Fault::None);
+        };
+        let open = caller.open(2_001, SERVICE, || site.address);
+        let (flow, ()) = tokio::join!(open, recover);
+        assert!(flow.is_ok(), "the flow was not opened");
+        assert!(
+            !read_log(&site).contains("NoUpstream"),
+            "a caller got a reset"
+        );
+    });
+}
+
 #[derive(Deserialize)]
 struct EarlierTablesQuery {
     version: u64,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fault_injection;
 pub mod fetches;
 pub mod gossip;
+pub mod held_packets;
 pub mod lifecycle;
 pub mod list_watch;
 pub mod liveness;
