--- a/crates/peer/src/report.rs
+++ b/crates/peer/src/report.rs
@@ -5,7 +5,7 @@
     serde::{Deserialize, Serialize},
     skylarkflow_steering::{
         gossip::{Freshness, Heartbeat, PeerInfo, Report},
-        position::{Epoch, Position},
+        position::{Epoch, Position, Revision},
     },
     std::net::SocketAddr,
 };
@@ -14,8 +14,9 @@
 const VERSION: u8 = 1;
 
 /// A report with its fields by position, which keeps it short: name, zone and address of the sender, version and
-/// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, and the epoch of
-/// the revision, which reports of older versions lack and their balancers ignore.
+/// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, the epoch of the
+/// revision, and epoch and revision of the last change of an evacuation. Reports of older versions lack the last two, and
+/// their balancers ignore them.
 #[derive(Deserialize, Serialize)]
 struct ReportWire(
     String,
@@ -26,6 +27,7 @@
     Vec<(String, u64, u64)>,
     Vec<u64>,
     #[serde(default)] Epoch,
+    #[serde(default)] Option<(Epoch, Revision)>,
 );
 
 impl From<Report> for ReportWire {
@@ -48,13 +50,17 @@
                 .collect(),
             ended,
             freshness.position.epoch,
+            freshness
+                .evacuations
+                .map(|position| (position.epoch, position.revision)),
         )
     }
 }
 
 impl From<ReportWire> for Report {
     fn from(wire: ReportWire) -> Report {
-        let ReportWire(name, zone, address, version, revision, readers, ended, epoch) = wire;
+        let ReportWire(name, zone, address, version, revision, readers, ended, epoch, evacuations) =
+            wire;
         let heartbeat = |(name, incarnation, sequence): (String, u64, u64)| Heartbeat {
             name,
             incarnation,
@@ -69,6 +75,7 @@
             freshness: Freshness {
                 version,
                 position: Position { epoch, revision },
+                evacuations: evacuations.map(|(epoch, revision)| Position { epoch, revision }),
             },
             readers: readers.into_iter().map(heartbeat).collect(),
             ended,
--- a/crates/peer/src/tables.rs
+++ b/crates/peer/src/tables.rs
@@ -5,7 +5,8 @@
     serde::{Deserialize, Serialize},
     skylarkflow_steering::{
         directory::{Change, Update},
-        position::{Epoch, Position},
+        evacuation::{Entry, Evacuations, Status},
+        position::{Epoch, Position, Revision},
         table::{Config, Level, Route, Target, Warmup},
         upstream::{Record, State},
     },
@@ -21,6 +22,8 @@
     pub position: Position,
     /// Entries of upstreams.
     pub upstreams: Update,
+    /// Evacuated zones; `None` if they are not known or not followed.
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Encoded form of [`Tables`]. A starting balancer receives thousands of entries over a link of about 10 Mbit/s, so
@@ -46,8 +49,24 @@
     /// Warm-up by pool. Absent in messages of older versions.
     #[serde(default)]
     warmups: BTreeMap<String, WarmupWire>,
+    /// Absent in messages of older versions, and where evacuations are not followed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    evacuations: Option<EvacuationsWire>,
 }
 
+/// Epoch and revision up to which changes are known, the same of the last change, and the zones.
+#[derive(Deserialize, Serialize)]
+struct EvacuationsWire(
+    (Epoch, Revision),
+    (Epoch, Revision),
+    BTreeMap<String, ZoneWire>,
+);
+
+/// Epoch and revision of the status, whether the evacuation is in force, and epoch and revision of the latest invalid
+/// entry.
+#[derive(Deserialize, Serialize)]
+struct ZoneWire(Epoch, Revision, bool, Option<(Epoch, Revision)>);
+
 /// Priority, timeout and target latency in milliseconds; 0 if they are not known.
 #[derive(Default, Deserialize, Serialize)]
 struct LevelWire(u32, u64, u64);
@@ -116,6 +135,7 @@
             complete: tables.upstreams.is_complete,
             epoch: tables.position.epoch,
             heartbeats,
+            evacuations: tables.evacuations.map(Into::into),
         }
     }
 }
@@ -153,10 +173,54 @@
                 changes: changes.collect::<Result<_>>()?,
                 is_complete: wire.complete,
             },
+            evacuations: wire.evacuations.map(Into::into),
         })
     }
 }
 
+impl From<Evacuations> for EvacuationsWire {
+    fn from(evacuations: Evacuations) -> EvacuationsWire {
+        let pair = |position: Position| (position.epoch, position.revision);
+        let zone = |(name, entry): (&String, &Entry)| {
+            let (epoch, revision) = pair(entry.position);
+            let is_in_force = entry.status == Status::InForce;
+            let invalid_at = entry.invalid_at.map(pair);
+            let wire = ZoneWire(epoch, revision, is_in_force, invalid_at);
+            (name.clone(), wire)
+        };
+        EvacuationsWire(
+            pair(evacuations.known_up_to().unwrap_or_default()),
+            pair(evacuations.changed_at().unwrap_or_default()),
+            evacuations.entries().iter().map(zone).collect(),
+        )
+    }
+}
+
+impl From<EvacuationsWire> for Evacuations {
+    fn from(EvacuationsWire(known_up_to, changed_at, zones): EvacuationsWire) -> Evacuations {
+        let position = |(epoch, revision): (Epoch, Revision)| Position { epoch, revision };
+        let entry = |(name, wire): (String, ZoneWire)| {
+            let ZoneWire(epoch, revision, is_in_force, invalid_at) = wire;
+            let status = if is_in_force {
+                Status::InForce
+            } else {
+                Status::Ended
+            };
+            let entry = Entry {
+                position: position((epoch, revision)),
+                status,
+                invalid_at: invalid_at.map(position),
+            };
+            (name, entry)
+        };
+        Evacuations::new(
+            position(known_up_to),
+            position(changed_at),
+            zones.into_iter().map(entry).collect(),
+        )
+    }
+}
+
 impl From<Config> for ConfigWire {
     fn from(config: Config) -> ConfigWire {
         let route = |route: Route| {
--- a/crates/peer/tests/report.rs
+++ b/crates/peer/tests/report.rs
@@ -9,7 +9,7 @@
     std::net::SocketAddr,
 };
 
-/// A report as balancers encode it that do not know epochs, without the format version.
+/// A report as balancers encode it that know neither epochs nor evacuations, without the format version.
 type EarlierReport = (
     String,
     String,
@@ -36,6 +36,10 @@
                 epoch,
                 revision: 50,
             },
+            evacuations: (epoch > 0).then_some(Position {
+                epoch,
+                revision: 40,
+            }),
         },
         readers: vec![Heartbeat {
             name: "b0".to_owned(),
--- a/crates/peer/tests/tables.rs
+++ b/crates/peer/tests/tables.rs
@@ -1,9 +1,11 @@
 //! Tests of the encoding of tables between steering balancers.
 
 use {
+    serde::{Deserialize, Serialize},
     skylarkflow_peer::tables::{self, Tables},
     skylarkflow_steering::{
         directory::{Change, Update},
+        evacuation::{Entry, Evacuations, Status},
         position::Position,
         table::{Config, Level, Route, Target, Warmup},
         upstream::{Record, State},
@@ -34,6 +36,21 @@
     }
 }
 
+fn evacuations() -> Evacuations {
+    let at = |revision| Position { epoch: 3, revision };
+    let entry = |revision, status| Entry {
+        position: at(revision),
+        status,
+        invalid_at: (revision > 41).then(|| at(revision + 1)),
+    };
+    let entries = BTreeMap::from([
+        ("zone-1".to_owned(), entry(40, Status::InForce)),
+        ("zone-2".to_owned(), entry(41, Status::Ended)),
+        ("zone-3".to_owned(), entry(42, Status::InForce)),
+    ]);
+    Evacuations::new(at(50), at(42), entries)
+}
+
 fn tables(count: u64) -> Tables {
     let route = Route {
         name: "dispatch".to_owned(),
@@ -68,6 +85,7 @@
             changes: (0..count).map(change).collect(),
             is_complete: count > 1,
         },
+        evacuations: Some(evacuations()),
     }
 }
 
@@ -101,3 +119,43 @@
         let _ = tables::from_slice(&changed);
     }
 }
+
+type EarlierConfig = (
+    u64,
+    u64,
+    Vec<(String, SocketAddr, Vec<(String, u32)>)>,
+    BTreeMap<String, String>,
+);
+
+type EarlierRecord = (usize, SocketAddr, usize, u32, bool, u64, u64);
+
+/// Tables as balancers encode and decode them that do not know evacuations.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierTables {
+    config: Option<EarlierConfig>,
+    revision: u64,
+    names: Vec<String>,
+    changes: Vec<(u64, u64, Option<EarlierRecord>)>,
+    complete: bool,
+    epoch: u64,
+    heartbeats: Vec<u64>,
+    levels: Vec<(u32, u64, u64)>,
+    warmups: BTreeMap<String, (u64, f64)>,
+}
+
+/// Guards against balancers that cannot read each other's tables while a release is rolled out.
+#[test]
+fn tables_are_readable_across_versions() {
+    let bytes = tables::to_vec(tables(20)).expect("bytes");
+    let earlier: EarlierTables = ciborium::from_reader(&bytes[..]).expect("earlier tables");
+    assert_eq!(earlier.changes.len(), 20);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&earlier, &mut bytes).expect("bytes");
+    let expected = Tables {
+        evacuations: None,
+        ..tables(20)
+    };
+    assert_eq!(tables::from_slice(&bytes).expect("tables"), expected);
+    // Balancers that do not follow evacuations send the same message as before.
+    assert_eq!(tables::to_vec(expected).expect("bytes"), bytes);
+}
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -117,6 +117,13 @@
     5119 UPSTREAMS_CONTRADICTED Warn "upstream"
         "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
     5120 STORE_READ_REQUESTED Info "store" "The current state of the store is read at the start, or as peers have newer tables and none supplies them.";
+    5121 EVACUATION_STARTED Warn "evacuation" "The upstreams of a zone get no new flows, as an entry of the store requests it.";
+    5122 EVACUATION_ENDED Info "evacuation" "The entry that evacuated a zone was removed; its upstreams get new flows again.";
+    5123 EVACUATION_UNCONFIRMED Warn "evacuation"
+        "A restored store lacks the entry of an evacuated zone; the zone stays evacuated until the entry is written and removed.";
+    5124 EVACUATION_CONFIRMED Info "evacuation" "A restored store has the entry of an evacuated zone.";
+    5125 EVACUATION_ENDING Info "evacuation" "An entry that evacuates a zone is marked as being removed; it stays in force until it is gone.";
+    5126 EVACUATION_IGNORED Warn "evacuation" "Zones are not evacuated because too many entries request it.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -94,6 +94,8 @@
     PacketsWithoutTable "steer.early" "packets" "Packets dropped because no table was active yet.";
     Placements "steer.placements" "flows" "Opening packets for which an upstream was chosen.";
     Replacements "steer.replacements" "flows" "Retransmitted opening packets for which another upstream was chosen.";
+    PacketsDuplicate "steer.duplicates" "packets"
+        "Duplicate opening packets dropped because the zone of their upstream was evacuated and no other one is left.";
     Resets "steer.resets" "packets" "Resets sent to callers.";
     UpstreamsDown "steer.upstreams_down" "changes" "Times that an upstream was marked down because it did not answer.";
     Probes "steer.probes" "probes" "Probes of upstreams that may have ended.";
@@ -114,6 +116,9 @@
     Flows "flows.open" "flows" "Flow entries of this balancer.";
     TableVersion "steer.version" "version" "Version of the configuration that is active at a steering balancer.";
     UpstreamsKnown "steer.upstreams" "upstreams" "Upstreams that are registered in the store.";
+    ZonesEvacuated "steer.zones_evacuated" "zones" "Zones whose upstreams get no new flows, as the store requests it.";
+    ZonesUnconfirmed "steer.zones_unconfirmed" "zones"
+        "Evacuated zones whose entry a restored store lacks; they stay evacuated.";
     StoreEpoch "steer.store_epoch" "epoch"
         "Epoch of the store, which rises when the store is restored from an older copy.";
     StoreRevision "steer.store_revision" "revision"
--- a/crates/skylarkflow/src/steer_control.rs
+++ b/crates/skylarkflow/src/steer_control.rs
@@ -12,6 +12,7 @@
         object::{self, Object},
     },
     skylarkflow_steering::{
+        evacuation::Observation,
         gossip::Role,
         list_watch::{Call, CallOutcome, ContentAction, ListWatch, PeerTables},
         position::{Epoch, Position, Revision},
@@ -29,6 +30,13 @@
     None,
 }
 
+/// Objects on the pages of a list that is not complete yet.
+#[derive(Default)]
+struct Listed {
+    upstreams: Vec<(Revision, Record)>,
+    evacuations: Vec<Observation>,
+}
+
 /// What an [`ObjectSync`] works with.
 pub struct Inputs {
     /// Tables to which the objects are applied.
@@ -55,8 +63,7 @@
     state: Arc<State>,
     /// Highest known epoch of the store.
     epoch: watch::Receiver<Epoch>,
-    /// Upstreams on the pages of a list that is not complete yet.
-    listed: Vec<(Revision, Record)>,
+    listed: Listed,
     /// Number of requests to read the current state of the store that were handled.
     requested_reads: u64,
 }
@@ -68,7 +75,7 @@
         ObjectSync {
             state: Arc::clone(inputs.sources.state()),
             epoch: inputs.sources.subscribe_epoch(),
-            listed: Vec::new(),
+            listed: Listed::default(),
             requested_reads,
             inputs,
         }
@@ -102,11 +109,17 @@
         } = &mut self.inputs;
         let now = self.state.clock.now();
         if list_watch.set_peer_tables(now, *peer_tables.borrow_and_update()) {
-            self.listed.clear();
+            self.listed = Listed::default();
         }
-        if list_watch.is_paused() && *kind == ObjectKind::Upstreams {
-            // The configuration has no revision of its own in the tables of peers, so its watch is not moved.
-            list_watch.advance(sources.freshness().position);
+        if list_watch.is_paused() {
+            match kind {
+                // The configuration has no revision of its own in the tables of peers, so its watch is not moved.
+                ObjectKind::Config => {}
+                ObjectKind::Upstreams => list_watch.advance(sources.freshness().position),
+                ObjectKind::Evacuations => {
+                    list_watch.advance(sources.evacuations_known_up_to().unwrap_or_default());
+                }
+            }
         }
         list_watch.observe_epoch(now, *self.epoch.borrow_and_update());
         list_watch.set_role(now, *role.borrow_and_update());
@@ -175,10 +188,16 @@
             record_outdated_response(&self.state, *kind, store_position, known_position);
         }
         record_store_health(&self.state, *kind, failures_before, list_watch);
-        self.apply(action, store_position.unwrap_or_default(), content);
+        self.apply(call, action, store_position.unwrap_or_default(), content);
     }
 
-    fn apply(&mut self, action: ContentAction, position: Position, content: ResponseContent) {
+    fn apply(
+        &mut self,
+        call: &Call,
+        action: ContentAction,
+        position: Position,
+        content: ResponseContent,
+    ) {
         let Inputs {
             sources,
             kind,
@@ -191,15 +210,23 @@
                 let list_position = list_watch.position().unwrap_or_default();
                 self.collect(&items);
                 let listed = mem::take(&mut self.listed);
-                if self.inputs.kind == ObjectKind::Upstreams {
-                    let sources = &self.inputs.sources;
-                    sources.replace_upstreams(list_position, listed);
+                let sources = &self.inputs.sources;
+                match self.inputs.kind {
+                    ObjectKind::Config => {}
+                    ObjectKind::Upstreams => {
+                        sources.replace_upstreams(list_position, listed.upstreams);
+                    }
+                    ObjectKind::Evacuations => sources.replace_evacuations(
+                        list_position,
+                        is_current_list(call),
+                        &listed.evacuations,
+                    ),
                 }
             }
             (ContentAction::Apply, ResponseContent::Changes(changes)) => {
                 sources.apply_changes(*kind, position, &changes)
             }
-            _ => self.listed.clear(),
+            _ => self.listed = Listed::default(),
         }
     }
 
@@ -209,11 +236,29 @@
         let Inputs { sources, kind, .. } = &self.inputs;
         match kind {
             ObjectKind::Config => sources.adopt_objects(items),
-            ObjectKind::Upstreams => self.listed.extend(sources.decode_upstreams(items)),
+            ObjectKind::Upstreams => {
+                let upstreams = sources.decode_upstreams(items);
+                self.listed.upstreams.extend(upstreams);
+            }
+            ObjectKind::Evacuations => {
+                let evacuations = sources.decode_evacuations(items);
+                self.listed.evacuations.extend(evacuations);
+            }
         }
     }
 }
 
+/// Returns whether a call reads a list of the current store instead of a copy.
+fn is_current_list(call: &Call) -> bool {
+    matches!(
+        call,
+        Call::List {
+            is_current: true,
+            ..
+        }
+    )
+}
+
 async fn call_store(
     store: &Store,
     kind: ObjectKind,
@@ -224,6 +269,7 @@
     let name = match kind {
         ObjectKind::Config => object::CONFIG,
         ObjectKind::Upstreams => object::UPSTREAMS,
+        ObjectKind::Evacuations => object::EVACUATIONS,
     };
     match call {
         Call::List { after, is_current } => {
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -245,6 +245,7 @@
 
     fn record_drop(&self, now: Duration, segment: &Segment, reason: DropReason) {
         let counter = match reason {
+            DropReason::DuplicateOpening => Counter::PacketsDuplicate,
             DropReason::NoTable => Counter::PacketsWithoutTable,
             DropReason::UnknownCookie => Counter::PacketsUnknownCookie,
         };
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -57,6 +57,8 @@
     pub role: watch::Sender<Role>,
     /// Whether a peer can provide or has provided its tables at the start.
     pub peer_tables: watch::Sender<PeerTables>,
+    /// Whether a peer can provide or has provided the evacuations at the start.
+    pub peer_evacuations: watch::Sender<PeerTables>,
     /// Number of requests to read the current state of the store.
     pub store_reads: watch::Sender<u64>,
     /// Events for the packet thread.
@@ -76,6 +78,18 @@
 
     fn list_store(&self) {
         self.peer_tables.send_replace(PeerTables::Unavailable);
+        self.peer_evacuations.send_replace(PeerTables::Unavailable);
+    }
+
+    /// Records that the evacuations are known, so that they need not be listed.
+    fn receive_evacuations(&self, position: Position) {
+        self.peer_evacuations.send_if_modified(|tables| {
+            let is_first = !matches!(tables, PeerTables::Received(_));
+            if is_first {
+                *tables = PeerTables::Received(position);
+            }
+            is_first
+        });
     }
 
     fn read_store(&self, state: &State) {
@@ -125,7 +139,9 @@
                     receive_report(&state, &mut gossip, from, &buffer[..length]);
                 }
                 // Without tables, fetch them from the first peer that reports some instead of at the next tick.
-                if sources.freshness().position == Position::default() {
+                let freshness = sources.freshness();
+                let lacks_evacuations = sources.follows_evacuations() && freshness.evacuations.is_none();
+                if freshness.position == Position::default() || lacks_evacuations {
                     gossip.tick(state.clock.now());
                 }
             }
@@ -183,6 +199,9 @@
                 let received = PeerTables::Received(position);
                 channels.peer_tables.send_replace(received);
             }
+            if let Some(position) = sources.evacuations_known_up_to() {
+                channels.receive_evacuations(position);
+            }
         }
         FetchProgress::Finished(address, Err(error)) => {
             gossip.finish_fetch(now, address, false);
@@ -234,7 +253,9 @@
     freshness: Freshness,
     progress: &UnboundedSender<FetchProgress>,
 ) -> Result<Merged, FetchError> {
-    let Freshness { version, position } = freshness;
+    let Freshness {
+        version, position, ..
+    } = freshness;
     let Position { epoch, revision } = position;
     let url = format!("http://{address}{TABLES_PATH}?version={version}&revision={revision}");
     // Balancers of earlier versions, which know no epochs, ignore the last parameter.
@@ -279,6 +300,7 @@
     let tables = sources.tables_after(Freshness {
         version: query.version,
         position,
+        evacuations: None,
     });
     tables::to_vec(tables).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -1,7 +1,10 @@
 //! Settings of a balancer that routes the packets of a flow by the cookie that they carry.
 
 use {
-    crate::settings::{self, Error, Finding, Log},
+    crate::{
+        settings::{self, Error, Finding, Log},
+        steer_sources::ObjectKind,
+    },
     serde::Deserialize,
     skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch},
     std::{
@@ -58,6 +61,8 @@
     pub flow_seconds: f64,
     /// Grace period in seconds between SIGTERM and SIGKILL.
     pub grace_seconds: f64,
+    /// Time in milliseconds within which the evacuation of a zone has to be in force; `None` if zones are not evacuated.
+    pub evacuate_ms: Option<f64>,
 }
 
 /// Decisions that follow the load.
@@ -124,6 +129,7 @@
         Bounds {
             flow_seconds: 60.0,
             grace_seconds: 6.0,
+            evacuate_ms: None,
         }
     }
 }
@@ -155,9 +161,12 @@
         }
     }
 
-    /// Returns the settings for listing and watching the objects of the store.
-    pub fn list_watch(&self) -> list_watch::Settings {
-        list_watch::Settings::default()
+    /// Returns the settings for listing and watching a kind of object of the store.
+    pub fn list_watch(&self, kind: ObjectKind) -> list_watch::Settings {
+        list_watch::Settings {
+            prefers_peers: kind == ObjectKind::Evacuations,
+            ..list_watch::Settings::default()
+        }
     }
 }
 
@@ -191,6 +200,7 @@
     let Bounds {
         flow_seconds,
         grace_seconds,
+        evacuate_ms,
     } = settings.bounds;
     if !(1.0..=86_400.0).contains(&flow_seconds) {
         report("bounds.flow_seconds", "is not within 1 to 86400");
@@ -198,5 +208,8 @@
     if !(1.0..=3_600.0).contains(&grace_seconds) {
         report("bounds.grace_seconds", "is not within 1 to 3600");
     }
+    if evacuate_ms.is_some_and(|millis| !(1.0..=3_600_000.0).contains(&millis)) {
+        report("bounds.evacuate_ms", "is not within 1 to 3600000");
+    }
     findings
 }
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -10,11 +10,12 @@
     skylarkflow_peer::tables::Tables,
     skylarkflow_steering::{
         directory::{self, Directory, EntryRevision},
+        evacuation::{self, Content, Evacuations, MAX_ZONES, Observation, Transition, Zones},
         gossip::Freshness,
         lifecycle::Phase,
         position::{Epoch, Position, Revision},
-        table::{Adoption, Config, Routes},
-        upstream::Record,
+        table::{Adoption, Config, Routes, Version},
+        upstream::{Record, ZoneName},
     },
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::watch,
@@ -33,6 +34,19 @@
     directory: Directory,
     /// Position of the store up to which entries of upstreams are known; `None` before the first list.
     position: Option<Position>,
+    /// Evacuations of zones; `None` if this balancer does not follow them.
+    evacuations: Option<Evacuations>,
+}
+
+/// What operators see of the sources.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// Version of the active configuration.
+    pub version: Option<Version>,
+    /// Position of the store up to which entries of upstreams are known.
+    pub position: Option<Position>,
+    /// Evacuated zones; `None` if they are not known or not followed.
+    pub evacuated: Option<Zones>,
 }
 
 /// Kind of object that is listed and watched.
@@ -42,22 +56,25 @@
     Config,
     /// Entries of upstreams.
     Upstreams,
+    /// Entries that evacuate zones.
+    Evacuations,
 }
 
 impl ObjectKind {
     /// Number of kinds.
-    pub const COUNT: usize = 2;
+    pub const COUNT: usize = 3;
 }
 
 impl TableSources {
     /// Creates sources without routes and upstreams, except those in `directory`.
-    pub fn new(state: Arc<State>, directory: Directory) -> TableSources {
+    pub fn new(state: Arc<State>, directory: Directory, follows_evacuations: bool) -> TableSources {
         TableSources {
             state,
             inputs: Mutex::new(TableInputs {
                 routes: Routes::default(),
                 directory,
                 position: None,
+                evacuations: follows_evacuations.then(Evacuations::default),
             }),
             epoch: watch::Sender::new(0),
         }
@@ -88,12 +105,13 @@
 
     fn publish_table(&self) {
         let inputs = self.inputs();
-        let Some(table) = inputs
+        let Some(mut table) = inputs
             .routes
             .table(self.state.clock.now(), &inputs.directory)
         else {
             return;
         };
+        table.accepts_flows = inputs.knows_evacuations();
         let metrics = &self.state.metrics;
         metrics.set(Gauge::TableVersion, table.version);
         let registered_count = inputs.directory.registered().count() as u64;
@@ -103,6 +121,7 @@
         self.state.publish_table(table);
         if let Phase::Starting(starting) = self.state.phase()
             && inputs.position.is_some()
+            && inputs.knows_evacuations()
         {
             self.state.set_phase(Phase::Serving(starting.serve()));
             self.state.event_log.record(
@@ -144,11 +163,38 @@
         Freshness {
             version: inputs.routes.version().unwrap_or_default(),
             position: inputs.position.unwrap_or_default(),
+            evacuations: inputs
+                .evacuations
+                .as_ref()
+                .and_then(Evacuations::changed_at),
+        }
+    }
+
+    /// Returns whether this balancer follows the evacuations of zones.
+    pub fn follows_evacuations(&self) -> bool {
+        self.inputs().evacuations.is_some()
+    }
+
+    /// Returns the position of the store up to which evacuations are known.
+    pub fn evacuations_known_up_to(&self) -> Option<Position> {
+        let inputs = self.inputs();
+        inputs.evacuations.as_ref()?.known_up_to()
+    }
+
+    /// Returns what operators see.
+    pub fn summary(&self) -> Summary {
+        let inputs = self.inputs();
+        let evacuations = inputs.evacuations.as_ref();
+        let known = evacuations.filter(|evacuations| evacuations.known_up_to().is_some());
+        Summary {
+            version: inputs.routes.version(),
+            position: inputs.position,
+            evacuated: known.map(Evacuations::zones),
         }
     }
 
     /// Returns the configuration and the changes of upstreams that are newer than a peer's configuration version and
-    /// store position.
+    /// store position, and all evacuations.
     pub fn tables_after(&self, freshness: Freshness) -> Tables {
         let inputs = self.inputs();
         let config = inputs.routes.config();
@@ -158,12 +204,19 @@
                 .cloned(),
             position: inputs.position.unwrap_or_default(),
             upstreams: inputs.directory.update_after(freshness.position),
+            evacuations: inputs
+                .evacuations
+                .clone()
+                .filter(|evacuations| evacuations.known_up_to().is_some()),
         }
     }
 
     /// Merges the tables of another balancer; returns their position if no upstreams were known before.
     pub fn merge(&self, tables: Tables) -> Option<Position> {
         self.observe_epoch(tables.position.epoch);
+        if let Some(evacuations) = &tables.evacuations {
+            self.update_evacuations(|known| known.merge(evacuations));
+        }
         if let Some(config) = tables.config {
             self.adopt_config(config);
         }
@@ -218,8 +271,12 @@
                 ObjectKind::Config if change.removed => {}
                 ObjectKind::Config => self.adopt_object(&change.object),
                 ObjectKind::Upstreams => self.apply_upstream_change(store_position, change),
+                ObjectKind::Evacuations => {}
             }
         }
+        if kind == ObjectKind::Evacuations {
+            return self.apply_evacuation_changes(store_position, changes);
+        }
         if kind == ObjectKind::Upstreams {
             self.inputs().advance_position(store_position);
         }
@@ -254,6 +311,99 @@
         }
     }
 
+    /// Returns what listed entries say about the evacuation of zones.
+    pub fn decode_evacuations(&self, items: &[Object]) -> Vec<Observation> {
+        let named = items.iter().filter(|item| !item.name.is_empty());
+        named.map(|item| self.decode_evacuation(item)).collect()
+    }
+
+    /// Applies a complete list of evacuations.
+    pub fn replace_evacuations(
+        &self,
+        store_position: Position,
+        is_current: bool,
+        listed: &[Observation],
+    ) {
+        self.update_evacuations(|known| known.apply_list(store_position, is_current, listed));
+    }
+
+    fn apply_evacuation_changes(&self, store_position: Position, changes: &[object::Change]) {
+        let named = changes
+            .iter()
+            .filter(|change| !change.object.name.is_empty());
+        let observation = |change: &object::Change| {
+            if change.removed {
+                Observation {
+                    zone: change.object.name.clone(),
+                    revision: change.object.revision,
+                    content: Content::Removed,
+                }
+            } else {
+                self.decode_evacuation(&change.object)
+            }
+        };
+        let changes: Vec<Observation> = named.map(observation).collect();
+        self.update_evacuations(|known| known.apply_changes(store_position, &changes));
+    }
+
+    fn decode_evacuation(&self, object: &Object) -> Observation {
+        if object.is_deleting {
+            let text = format_args!("zone {:?}: removal has begun", object.name);
+            let event = &event::EVACUATION_ENDING;
+            self.state.event_log.record(event, text);
+        }
+        object::decode_evacuation(object).unwrap_or_else(|malformed| {
+            self.record_malformed(&malformed);
+            Observation {
+                zone: object.name.clone(),
+                revision: object.revision,
+                content: Content::Unreadable,
+            }
+        })
+    }
+
+    /// Changes the evacuations, which returns the zones that are ignored, and puts the change into force.
+    fn update_evacuations(&self, update: impl FnOnce(&mut Evacuations) -> Vec<ZoneName>) {
+        let mut inputs = self.inputs();
+        let Some(evacuations) = &mut inputs.evacuations else {
+            return;
+        };
+        let was_known = evacuations.known_up_to().is_some();
+        let before = evacuations.zones();
+        let ignored = update(evacuations);
+        let is_known = evacuations.known_up_to().is_some();
+        let after = evacuations.zones();
+        let zones = after.keys().cloned().collect();
+        inputs.directory.set_evacuated_zones(zones);
+        drop(inputs);
+        self.record_evacuations(&before, &after);
+        if !ignored.is_empty() {
+            let text = format_args!("more than {MAX_ZONES} zones; ignored: {ignored:?}");
+            let event_log = &self.state.event_log;
+            event_log.record_limited(self.state.clock.now(), &event::EVACUATION_IGNORED, text);
+        }
+        if before != after || was_known != is_known {
+            self.publish_table();
+        }
+    }
+
+    fn record_evacuations(&self, before: &Zones, after: &Zones) {
+        for (zone, transition) in evacuation::transitions(before, after) {
+            let event = match transition {
+                Transition::Confirmed => &event::EVACUATION_CONFIRMED,
+                Transition::Ended => &event::EVACUATION_ENDED,
+                Transition::Started => &event::EVACUATION_STARTED,
+                Transition::Unconfirmed => &event::EVACUATION_UNCONFIRMED,
+            };
+            let text = format_args!("zone {zone:?}");
+            self.state.event_log.record(event, text);
+        }
+        let unconfirmed = after.values().filter(|is_confirmed| !**is_confirmed);
+        let metrics = &self.state.metrics;
+        metrics.set(Gauge::ZonesEvacuated, after.len() as u64);
+        metrics.set(Gauge::ZonesUnconfirmed, unconfirmed.count() as u64);
+    }
+
     fn decode_upstream(&self, object: &Object) -> Option<Record> {
         object::decode_upstream(object)
             .inspect_err(|malformed| self.record_malformed(malformed))
@@ -306,6 +456,13 @@
 }
 
 impl TableInputs {
+    /// Returns whether new flows may be placed: the evacuations are known, or not followed.
+    fn knows_evacuations(&self) -> bool {
+        self.evacuations
+            .as_ref()
+            .is_none_or(|evacuations| evacuations.known_up_to().is_some())
+    }
+
     /// Advances the known position; an older one has no effect.
     fn advance_position(&mut self, store_position: Position) {
         self.position = self.position.max(Some(store_position));
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -5,7 +5,8 @@
         steer_control::{self, ObjectSync},
         steer_daemon::Error,
         steer_data::UpstreamEvent,
-        steer_http, steer_peers,
+        steer_http::{self, Server},
+        steer_peers,
         steer_probe::{self, Probe, Waker},
         steer_registration::Registrar,
         steer_settings::Settings,
@@ -56,6 +57,7 @@
     settings: Settings,
     role: watch::Receiver<Role>,
     peer_tables: watch::Receiver<PeerTables>,
+    peer_evacuations: watch::Receiver<PeerTables>,
     store_reads: watch::Receiver<u64>,
     registered_peers: UnboundedSender<Vec<PeerInfo>>,
     /// Tasks that call the store, restarted when its address changes.
@@ -73,15 +75,22 @@
         settings: Settings,
         forwarder: ForwarderHandle,
     ) -> Result<Tasks, Error> {
-        let router = steer_http::router(Arc::clone(state));
+        let directory = Directory::new(settings.upstream_directory());
+        let follows_evacuations = settings.bounds.evacuate_ms.is_some();
+        let sources = TableSources::new(Arc::clone(state), directory, follows_evacuations);
+        let sources = Arc::new(sources);
+        let (role_sender, role) = watch::channel(Role::default());
+        let router = steer_http::router(Server {
+            sources: Arc::clone(&sources),
+            local: settings.peer_info(),
+            role: role.clone(),
+        });
         if let Some(metrics) = settings.metrics {
             serve_http(metrics, router.clone()).await?;
         }
         serve_http(settings.http, router).await?;
-        let directory = Directory::new(settings.upstream_directory());
-        let sources = Arc::new(TableSources::new(Arc::clone(state), directory));
-        let (role_sender, role) = watch::channel(Role::default());
         let (peer_tables_sender, peer_tables) = watch::channel(PeerTables::Pending);
+        let (peer_evacuations_sender, peer_evacuations) = watch::channel(PeerTables::Pending);
         let (store_reads_sender, store_reads) = watch::channel(0);
         let (registered_peers, registered_peers_receiver) = mpsc::unbounded_channel();
         let mut tasks = Tasks {
@@ -89,6 +98,7 @@
             settings,
             role,
             peer_tables,
+            peer_evacuations,
             store_reads,
             registered_peers,
             store_tasks: Vec::new(),
@@ -99,7 +109,11 @@
         serve_http(local.address, steer_peers::router(Arc::clone(&sources))).await?;
         let report_socket = UdpSocket::bind(local.address).await?;
         let incarnation = state.clock.incarnation();
-        let gossip = Gossip::new(gossip::Settings::default(), local, incarnation);
+        let gossip_settings = gossip::Settings {
+            follows_evacuations,
+            ..gossip::Settings::default()
+        };
+        let gossip = Gossip::new(gossip_settings, local, incarnation);
         tokio::spawn(steer_probe::run_probes(
             Arc::clone(state),
             forwarder.probes,
@@ -116,6 +130,7 @@
             registered_peers: registered_peers_receiver,
             role: role_sender,
             peer_tables: peer_tables_sender,
+            peer_evacuations: peer_evacuations_sender,
             store_reads: store_reads_sender,
             upstream_events: forwarder.upstream_events,
             waker: forwarder.waker,
@@ -135,7 +150,8 @@
         &self.settings
     }
 
-    /// Applies the `store` and `bounds` of changed settings; all others only change with a restart.
+    /// Applies the `store` and `bounds` of changed settings; all others, and whether evacuations are followed, only
+    /// change with a restart.
     ///
     /// # Errors
     ///
@@ -167,22 +183,25 @@
         // Tables that a peer provided at the start may come from another store than the one at a new address.
         let is_first_start = self.store_tasks.is_empty();
         self.store_tasks.clear();
-        let peer_tables = if is_first_start {
-            &self.peer_tables
+        let (peer_tables, peer_evacuations) = if is_first_start {
+            (&self.peer_tables, &self.peer_evacuations)
         } else {
-            &no_peer_tables
+            (&no_peer_tables, &no_peer_tables)
         };
-        let kinds = [
+        let mut kinds = vec![
             (ObjectKind::Config, no_peer_tables.clone()),
             (ObjectKind::Upstreams, peer_tables.clone()),
         ];
+        if self.sources.follows_evacuations() {
+            kinds.push((ObjectKind::Evacuations, peer_evacuations.clone()));
+        }
         for (seed, (kind, peer_tables)) in (0..).zip(kinds) {
             let seed = state.clock.incarnation() ^ seed;
             let sync = ObjectSync::new(steer_control::Inputs {
                 sources: Arc::clone(&self.sources),
                 store: store.clone(),
                 kind,
-                list_watch: ListWatch::new(self.settings.list_watch(), seed),
+                list_watch: ListWatch::new(self.settings.list_watch(kind), seed),
                 role: self.role.clone(),
                 peer_tables,
                 store_reads: self.store_reads.clone(),
--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -133,8 +133,7 @@
 fn every_finding_in_the_settings_is_reported() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("settings.yaml");
-    let text =
-        "name: ''\nzone: ''\npeers: {first_port: 9, last_port: 8}\nbounds: {grace_seconds: 0}\n";
+    let text = "name: ''\nzone: ''\npeers: {first_port: 9, last_port: 8}\nbounds: {grace_seconds: 0, evacuate_ms: 0}\n";
     fs::write(&path, text).expect("settings");
     let output = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
         .args(["steer", "--check", "--settings"])
@@ -143,7 +142,13 @@
         .expect("the command runs");
     let errors = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2), "{errors}");
-    for field in ["name", "zone", "peers.first_port", "bounds.grace_seconds"] {
+    for field in [
+        "name",
+        "zone",
+        "peers.first_port",
+        "bounds.grace_seconds",
+        "bounds.evacuate_ms",
+    ] {
         assert!(errors.contains(field), "{field} in {errors}");
     }
 }
--- a/crates/skylarkflow/tests/support/steering.rs
+++ b/crates/skylarkflow/tests/support/steering.rs
@@ -88,6 +88,11 @@
 }
 
 pub async fn start_site(net: u8) -> Site {
+    start_site_with(net, "").await
+}
+
+/// Starts a site whose balancer has further settings.
+pub async fn start_site_with(net: u8, further_settings: &str) -> Site {
     let folder = tempfile::tempdir().expect("a folder");
     let ip = Ipv4Addr::new(127, net, 0, 1);
     let probe = UdpSocket::bind((ip, 0)).expect("a free port");
@@ -102,7 +107,8 @@
     store.configure(1, &[(SERVICE, POOL)]);
     let initial_objects = store.snapshot();
     let path = folder.path().join("settings.yaml");
-    fs::write(&path, settings_yaml(ip, port, store.address)).expect("settings");
+    let settings = settings_yaml(ip, port, store.address) + further_settings;
+    fs::write(&path, settings).expect("settings");
     let balancer = start_balancer(&path);
     Site {
         store,
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -137,7 +137,11 @@
 /// Why a packet is dropped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DropReason {
-    /// No configuration is active yet, so it is unknown whether the address has a route.
+    /// It duplicates an opening packet whose upstream takes no new flows any more, and no other upstream is left. The
+    /// flow may be open, so it is not reset.
+    DuplicateOpening,
+    /// No configuration is active yet, so it is unknown whether the address has a route, or it is unknown which zones
+    /// are evacuated.
     NoTable,
     /// No known upstream has its cookie.
     UnknownCookie,
@@ -342,12 +346,19 @@
         let Some(route) = table.routes.get(&key.service) else {
             return Verdict::Reset(ResetReason::NoRoute);
         };
+        if !table.accepts_flows {
+            return Verdict::Drop(DropReason::NoTable);
+        }
         let mut unanswered = None;
+        let mut duplicate_of = None;
         if let Some((upstream, last)) = self.tracker.opening_flow(&key) {
-            if retransmission <= last {
+            if retransmission > last {
+                unanswered = Some(Arc::clone(upstream));
+            } else if table.is_evacuated(upstream) {
+                duplicate_of = Some(last);
+            } else {
                 return forward_opening(table, Arc::clone(upstream), retransmission, 0.0);
             }
-            unanswered = Some(Arc::clone(upstream));
         }
         if let Some(upstream) = &unanswered {
             self.record_signal(now, upstream, Signal::TimedOut);
@@ -355,10 +366,14 @@
             self.collect_actions(Some(table));
         }
         let Some(choice) = self.choose_upstream(now, table, route) else {
-            return Verdict::Reset(ResetReason::NoUpstream);
+            return match duplicate_of {
+                Some(_) => Verdict::Drop(DropReason::DuplicateOpening),
+                None => Verdict::Reset(ResetReason::NoUpstream),
+            };
         };
+        let last = duplicate_of.unwrap_or(retransmission);
         self.tracker
-            .record_opening(now, key, retransmission, &choice.upstream);
+            .record_opening(now, key, last, &choice.upstream);
         forward_opening(table, choice.upstream, retransmission, choice.score)
     }
 
--- a/crates/steering/src/directory.rs
+++ b/crates/steering/src/directory.rs
@@ -10,7 +10,7 @@
         directory_entry::Entry,
         position::{Position, Revision},
         table,
-        upstream::{PoolName, Record, Upstream, UpstreamId},
+        upstream::{PoolName, Record, Upstream, UpstreamId, ZoneName},
     },
     skylarkflow_policy::id::{Map, Set},
     std::{mem, net::SocketAddr, sync::Arc, time::Duration},
@@ -74,6 +74,8 @@
     removals_complete_after: Position,
     /// Time of the last call of [`Directory::expire`].
     last_expiry: Duration,
+    /// Zones whose upstreams get no new flows.
+    evacuated: Arc<Set<ZoneName>>,
 }
 
 /// Upstreams as a [`table::Table`] holds them.
@@ -85,6 +87,8 @@
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
     /// Holders of the addresses of the registered upstreams.
     pub addresses: Arc<Map<SocketAddr, Claim>>,
+    /// Zones whose upstreams are left out of the pools.
+    pub evacuated: Arc<Set<ZoneName>>,
 }
 
 impl Directory {
@@ -101,6 +105,11 @@
         self.settings = settings;
     }
 
+    /// Sets the zones whose upstreams get no new flows.
+    pub fn set_evacuated_zones(&mut self, zones: Set<ZoneName>) {
+        self.evacuated = Arc::new(zones);
+    }
+
     /// Replaces the registered upstreams by a full list, which was read at `store_position`.
     pub fn replace(
         &mut self,
@@ -280,10 +289,14 @@
         let address = |upstream: &Arc<Upstream>| (upstream.record.address, upstream.record.claim());
         let addresses: Map<SocketAddr, Claim> = named.map(address).collect();
         lapsed.retain(|upstream| !addresses.contains_key(&upstream.record.address));
+        for upstreams in [&mut registered, &mut lapsed] {
+            upstreams.retain(|upstream| !self.evacuated.contains(&upstream.record.zone));
+        }
         View {
             addresses: Arc::new(addresses),
             pools: Arc::new(pools_with_lapsed(&registered, &lapsed)),
             cookies: Arc::new(cookies),
+            evacuated: Arc::clone(&self.evacuated),
         }
     }
 }
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -63,6 +63,8 @@
     pub fetches: fetches::Settings,
     /// Minimum time between two requests to read the store because no peer supplies its newer tables.
     pub min_store_read_interval: Duration,
+    /// Whether this balancer follows the evacuations of zones.
+    pub follows_evacuations: bool,
 }
 
 impl Default for Settings {
@@ -85,6 +87,7 @@
             initial_listers: 2,
             fetches: fetches::Settings::default(),
             min_store_read_interval: Duration::from_secs(3),
+            follows_evacuations: false,
         }
     }
 }
@@ -284,10 +287,13 @@
     pub fn handle_report(&mut self, now: Duration, report: Report) {
         let Report {
             from,
-            freshness,
+            mut freshness,
             readers,
             ended,
         } = report;
+        if !self.settings.follows_evacuations {
+            freshness.evacuations = None;
+        }
         if from.name == self.local.name {
             return;
         }
@@ -445,8 +451,11 @@
         };
         let address = source.info.address;
         let relies_on_peer = self.role == Role::Follower && source.info.zone == self.local.zone;
-        let is_urgent =
-            is_retry || self.is_store_unreachable || self.knows_nothing() || relies_on_peer;
+        let is_urgent = is_retry
+            || self.is_store_unreachable
+            || self.knows_nothing()
+            || self.lacks_evacuations()
+            || relies_on_peer;
         if is_urgent || now >= since + self.settings.fetch_delay {
             self.behind_since = Some(now);
             self.fetches.start(now, address);
@@ -471,16 +480,20 @@
         self.freshness.position == Position::default()
     }
 
+    /// Returns whether new flows have to wait for the evacuations.
+    fn lacks_evacuations(&self) -> bool {
+        self.settings.follows_evacuations && self.freshness.evacuations.is_none()
+    }
+
     /// Returns the peers with newer tables that were heard recently.
     fn members_ahead(&self, now: Duration) -> impl Iterator<Item = &Member> {
         let heartbeat_timeout = self.settings.heartbeat_timeout;
-        let Freshness { version, position } = self.freshness;
+        let own = self.freshness;
         self.members.values().filter(move |member| {
             let last_heard = member.last_heard;
             let is_recent =
                 last_heard.is_some_and(|last_heard| now < last_heard + heartbeat_timeout);
-            let newer = member.freshness;
-            is_recent && (newer.version > version || newer.position > position)
+            is_recent && member.freshness.is_ahead_of(&own)
         })
     }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cookie;
 pub mod directory;
 mod directory_entry;
+pub mod evacuation;
 pub mod fault_injection;
 pub mod fetches;
 pub mod gossip;
--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -29,6 +29,12 @@
     /// balancers of each zone list without this wait, and their tables take a few hops of about 200 ms to reach the
     /// others.
     pub peer_tables_timeout: Duration,
+    /// Whether the first list, too, waits for the tables of a peer, and is from the current store. The objects are then
+    /// so few that the tables of any peer have them.
+    pub prefers_peers: bool,
+    /// Time from the tables of a peer that replace such a list to the first watch: longer than the first election takes,
+    /// since most balancers are followers then and make none. Until then, those that list watch for the others.
+    pub first_watch_delay: Duration,
 }
 
 impl Default for Settings {
@@ -40,6 +46,8 @@
             initial_backoff: Duration::from_millis(100),
             max_backoff: Duration::from_secs(1),
             peer_tables_timeout: Duration::from_millis(1_500),
+            prefers_peers: false,
+            first_watch_delay: Duration::from_secs(5),
         }
     }
 }
@@ -145,21 +153,28 @@
     role: Role,
     /// Whether a list of the current state has to follow the one in progress.
     needs_current_list: bool,
+    /// Whether any call has ended.
+    has_called: bool,
 }
 
 impl ListWatch {
-    /// Creates a state machine whose first call is an immediate list.
+    /// Creates a state machine whose first call is a list, at once unless the settings prefer the tables of peers.
     ///
-    /// A replica of the store may serve the list, as the watch delivers the changes since then.
+    /// A replica of the store may serve an immediate list, as the watch delivers the changes since then.
     pub fn new(settings: Settings, seed: u64) -> ListWatch {
+        let delay = if settings.prefers_peers {
+            settings.peer_tables_timeout
+        } else {
+            Duration::ZERO
+        };
         ListWatch {
             settings,
             rng: SmallRng::seed_from_u64(seed),
             next_call: Call::List {
                 after: None,
-                is_current: false,
+                is_current: settings.prefers_peers,
             },
-            next_call_at: Duration::ZERO,
+            next_call_at: delay,
             position: None,
             list_position: None,
             epoch: 0,
@@ -167,6 +182,7 @@
             peer_tables: PeerTables::default(),
             role: Role::default(),
             needs_current_list: false,
+            has_called: false,
         }
     }
 
@@ -239,13 +255,18 @@
         match peer_tables {
             PeerTables::Received(position) if self.position.is_none() => {
                 self.list_position = None;
-                self.schedule_watch(now, position);
+                let delay = if self.settings.prefers_peers {
+                    self.settings.first_watch_delay
+                } else {
+                    Duration::ZERO
+                };
+                self.schedule_watch(now + delay, position);
                 if self.needs_current_list {
                     self.schedule_relist(now);
                 }
                 true
             }
-            PeerTables::Unavailable if self.position.is_none() && self.list_position.is_some() => {
+            PeerTables::Unavailable if self.may_list_at_once() => {
                 self.next_call_at = self.next_call_at.min(now);
                 false
             }
@@ -253,6 +274,12 @@
         }
     }
 
+    /// Returns whether the first list may be waiting for the tables of a peer, and not for the end of a backoff.
+    fn may_list_at_once(&self) -> bool {
+        let is_first_call = self.settings.prefers_peers && !self.has_called;
+        self.position.is_none() && (self.list_position.is_some() || is_first_call)
+    }
+
     /// Returns the next call and the time at which it is due.
     ///
     /// A watch after a failure is short as well, since only its response shows that the store is reachable again.
@@ -283,6 +310,7 @@
 
     /// Handles the outcome of a call and schedules the next one.
     pub fn handle_outcome(&mut self, now: Duration, outcome: CallOutcome) -> ContentAction {
+        self.has_called = true;
         match outcome {
             CallOutcome::Page { position, next } => self.handle_page(now, position, next),
             CallOutcome::Changes { position } => self.handle_changes(now, position),
--- a/crates/steering/src/report.rs
+++ b/crates/steering/src/report.rs
@@ -53,6 +53,17 @@
     pub version: Version,
     /// Position of the store up to which the entries of upstreams are known; the default if none are.
     pub position: Position,
+    /// Position of the store at which the evacuations last changed; `None` if they are not known or not followed.
+    pub evacuations: Option<Position>,
+}
+
+impl Freshness {
+    /// Returns whether any of the tables is newer than that of `other`.
+    pub fn is_ahead_of(&self, other: &Freshness) -> bool {
+        self.version > other.version
+            || self.position > other.position
+            || self.evacuations > other.evacuations
+    }
 }
 
 /// Gossip message of a balancer.
--- a/crates/steering/src/table.rs
+++ b/crates/steering/src/table.rs
@@ -5,7 +5,7 @@
         cookie::{Claim, Cookie},
         directory::Directory,
         fault_injection::{self, Fault},
-        upstream::{PoolName, State, Upstream},
+        upstream::{PoolName, State, Upstream, ZoneName},
     },
     skylarkflow_policy::id::{Map, Set},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
@@ -92,7 +92,7 @@
     pub routes: Arc<Map<SocketAddr, Route>>,
     /// Addresses that had a route in an earlier version and have none now.
     pub removed: Arc<Set<SocketAddr>>,
-    /// Upstreams that accept new flows, by pool.
+    /// Upstreams that accept new flows, by pool; without those of evacuated zones.
     pub pools: Arc<Map<PoolName, Vec<Arc<Upstream>>>>,
     /// All upstreams to which open flows may belong, by cookie.
     pub cookies: Arc<Map<Cookie, Arc<Upstream>>>,
@@ -104,9 +104,18 @@
     pub warmups: Arc<BTreeMap<PoolName, Warmup>>,
     /// Pools that the configuration names.
     pub pool_names: Arc<Set<PoolName>>,
+    /// Zones whose upstreams get no new flows.
+    pub evacuated: Arc<Set<ZoneName>>,
+    /// Whether new flows may be placed. They have to wait while the evacuations are not known.
+    pub accepts_flows: bool,
 }
 
 impl Table {
+    /// Returns whether the zone of an upstream is evacuated.
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuated.contains(&upstream.record.zone)
+    }
+
     /// Returns whether an upstream is registered and its address belongs to no other one.
     pub fn is_registered(&self, upstream: &Upstream) -> bool {
         self.holder_at_address_of(upstream) == Some(upstream.record.claim())
@@ -210,6 +219,8 @@
             health_paths: Arc::clone(&self.health_paths),
             warmups: Arc::clone(&self.warmups),
             pool_names: Arc::clone(&self.pool_names),
+            evacuated: view.evacuated,
+            accepts_flows: true,
         })
     }
 }
--- /dev/null
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -0,0 +1,290 @@
+//! Evacuations in a fleet: guards against balancers that learn of one too late or never, that end one because of an old
+//! copy, a peer that is behind, a partition or a restore of the store, and that are ready before they know it.
+
+mod support;
+
+use {
+    skylarkflow_steering::{evacuation::Zones, list_watch},
+    std::time::Duration,
+    support::{evacuation_fleet::Fleet, ms, virtual_store::Store},
+};
+
+/// Time in which an evacuation has to be in force on every connected balancer.
+const BOUND: Duration = Duration::from_secs(5);
+
+const ZONE: &str = "z1";
+
+fn zones(zones: &[(&str, bool)]) -> Zones {
+    let zones = zones.iter();
+    zones
+        .map(|&(zone, is_confirmed)| (zone.to_owned(), is_confirmed))
+        .collect()
+}
+
+#[test]
+fn an_evacuation_is_in_force_on_every_balancer_within_the_bound() {
+    for (count, zone_count) in [(1, 1), (8, 3), (60, 4), (300, 5)] {
+        let mut fleet = Fleet::settled(count, zone_count);
+        fleet.store.evacuate(ZONE);
+        let started_at = fleet.now;
+        while fleet.count_placing_in(ZONE) > 0 {
+            fleet.run(ms(100));
+            assert!(fleet.now <= started_at + BOUND, "{count} balancers");
+        }
+        println!(
+            "{count} balancers: in force after {:?}",
+            fleet.now - started_at
+        );
+        fleet.store.remove(ZONE);
+        fleet.run(BOUND);
+        assert_eq!(fleet.zones(), zones(&[]), "{count} balancers");
+    }
+}
+
+/// Guards against a zone that waits for its own reader: the watches of the zone hang while another zone knows the change.
+#[test]
+fn balancers_without_the_store_learn_of_an_evacuation_from_peers() {
+    let mut fleet = Fleet::settled(60, 4);
+    for node in fleet.nodes.values_mut().skip(1) {
+        node.reaches_store = false;
+    }
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+}
+
+/// Guards against watches of a lagging copy that end an evacuation, or hide it from balancers which the current store has
+/// told through their peers.
+#[test]
+fn a_lagging_copy_does_not_undo_an_evacuation() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.lagging = Some(fleet.store.current.clone());
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    for _ in 0..200 {
+        fleet.run(ms(100));
+        assert_eq!(fleet.count_placing_in(ZONE), 0);
+    }
+}
+
+#[test]
+fn an_outage_of_the_store_changes_nothing() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    fleet.store.is_up = false;
+    for _ in 0..300 {
+        fleet.run(ms(100));
+        assert_eq!(fleet.count_placing_in(ZONE), 0);
+    }
+    fleet.restart(7);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    assert!(fleet.node(7).ready_after.is_some());
+    fleet.store.is_up = true;
+    fleet.store.compact();
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+}
+
+/// Guards against a side of a partition that brings back an evacuation which has ended on the other one, or ends one that
+/// has begun there.
+#[test]
+fn after_a_partition_the_newer_state_holds_on_both_sides() {
+    for restarts in [false, true] {
+        let mut fleet = Fleet::settled(60, 4);
+        fleet.store.evacuate("z2");
+        fleet.run(BOUND);
+        for (index, node) in fleet.nodes.values_mut().enumerate() {
+            // The last zone is cut off from the store and the other zones.
+            node.side = usize::from(index % 4 == 3);
+            node.reaches_store = node.side == 0;
+        }
+        fleet.store.remove("z2");
+        fleet.store.evacuate(ZONE);
+        fleet.run(Duration::from_secs(20));
+        assert!(fleet.node(3).evacuations.zones().contains_key("z2"));
+        if restarts {
+            // No balancer remembers that the evacuation has ended; only their lists show it.
+            for index in (0..60).filter(|index| index % 4 != 3) {
+                fleet.restart(index);
+            }
+            fleet.run(BOUND);
+        }
+        for node in fleet.nodes.values_mut() {
+            node.side = 0;
+            node.reaches_store = true;
+        }
+        fleet.run(BOUND);
+        assert_eq!(
+            fleet.zones(),
+            zones(&[(ZONE, true)]),
+            "restarts: {restarts}"
+        );
+    }
+}
+
+/// Guards against an evacuation that stays in force because a watch missed its removal in dropped history.
+#[test]
+fn a_removal_in_dropped_history_is_found_by_a_list() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    for node in fleet.nodes.values_mut() {
+        node.reaches_store = false;
+    }
+    fleet.store.remove(ZONE);
+    fleet.store.compact();
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    for node in fleet.nodes.values_mut() {
+        node.reaches_store = true;
+    }
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.zones(), zones(&[]));
+}
+
+#[test]
+fn an_evacuation_that_a_restored_store_has_stays_confirmed() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.evacuate(ZONE);
+    let copy = fleet.store.current.clone();
+    fleet.run(BOUND);
+    fleet.store.restore(copy);
+    for _ in 0..50 {
+        fleet.run(ms(100));
+        assert_eq!(fleet.count_placing_in(ZONE), 0);
+    }
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    fleet.store.remove(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[]));
+}
+
+#[test]
+fn an_evacuation_that_a_restored_store_lacks_is_kept_until_the_entry_is_written_and_removed() {
+    let mut fleet = Fleet::settled(60, 4);
+    let copy = fleet.store.current.clone();
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    fleet.store.restore(copy);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, false)]));
+    // A list of the same epoch, and the start of a balancer, prove nothing either.
+    fleet.store.compact();
+    fleet.restart(0);
+    fleet.restart(9);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.zones(), zones(&[(ZONE, false)]));
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    fleet.store.remove(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[]));
+}
+
+/// Guards against a balancer that is ready before it knows the evacuations, which places flows in an evacuated zone.
+#[test]
+fn balancers_that_start_all_at_once_place_no_flows_in_an_evacuated_zone() {
+    for (count, zone_count) in [(1, 1), (8, 3), (60, 4), (300, 5)] {
+        let mut store = Store::default();
+        store.evacuate(ZONE);
+        let mut fleet = Fleet::start(count, zone_count, store, true);
+        let mut ready_after = Duration::ZERO;
+        for _ in 0..50 {
+            fleet.run(ms(100));
+            for node in fleet
+                .nodes
+                .values()
+                .filter(|node| node.ready_after.is_some())
+            {
+                assert!(node.evacuations.zones().contains_key(ZONE));
+            }
+            let all: Option<Vec<Duration>> =
+                fleet.nodes.values().map(|node| node.ready_after).collect();
+            ready_after = all
+                .and_then(|all| all.into_iter().max())
+                .unwrap_or(fleet.now);
+        }
+        println!("{count} balancers: all ready after {ready_after:?}");
+        let timeout = list_watch::Settings::default().peer_tables_timeout;
+        assert!(
+            ready_after <= timeout + ms(100),
+            "{count} balancers: {ready_after:?}"
+        );
+    }
+}
+
+/// Guards against a start of one balancer that all others answer with fetches, since its list is the newest.
+#[test]
+fn the_start_of_one_balancer_causes_no_fetches_of_others_for_evacuations() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    let changed_at = fleet.node(20).evacuations.changed_at();
+    for index in [0, 5, 30] {
+        fleet.restart(index);
+        fleet.run(BOUND);
+        let node = fleet.node(index);
+        assert!(node.ready_after.is_some_and(|after| after <= ms(1_600)));
+        assert!(node.evacuations.zones().contains_key(ZONE));
+    }
+    let nodes = fleet.nodes.values();
+    let unchanged = nodes.filter(|node| node.evacuations.changed_at() == changed_at);
+    assert_eq!(unchanged.count(), 60);
+}
+
+/// Guards against entries of another writer that begin or end an evacuation.
+#[test]
+fn odd_entries_neither_begin_nor_end_an_evacuation() {
+    let mut fleet = Fleet::settled(60, 4);
+    fleet.store.write_odd("z0");
+    fleet.store.evacuate(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    fleet.store.write_odd(ZONE);
+    fleet.run(BOUND);
+    // Watchers list the current store, and a balancer starts that sees only the odd entry.
+    fleet.store.compact();
+    fleet.restart(0);
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
+    fleet.store.remove(ZONE);
+    fleet.run(BOUND);
+    assert_eq!(fleet.zones(), zones(&[]));
+}
+
+/// Returns the calls of the store per balancer at a start and in the minute after the roles are settled.
+fn calls_per_balancer(count: usize, zone_count: usize, follows_evacuations: bool) -> (f64, f64) {
+    let mut fleet = Fleet::start(count, zone_count, Store::default(), follows_evacuations);
+    fleet.run(Duration::from_secs(12));
+    let at_start = fleet.calls();
+    fleet.run(Duration::from_secs(60));
+    let later = fleet.calls() - at_start;
+    (at_start as f64 / count as f64, later as f64 / count as f64)
+}
+
+/// Guards against calls of the store that grow with the number of balancers: only those of the two of each zone that
+/// list, and of the four that watch, may be added.
+#[test]
+fn evacuations_add_no_call_of_the_store_per_balancer() {
+    for (count, zone_count) in [(60, 4), (300, 5)] {
+        let before = calls_per_balancer(count, zone_count, false);
+        let after = calls_per_balancer(count, zone_count, true);
+        println!(
+            "{count} balancers: at the start {:.2} -> {:.2}, then per minute {:.2} -> {:.2}",
+            before.0, after.0, before.1, after.1
+        );
+        let added_at_start = (after.0 - before.0) * count as f64;
+        let added_later = (after.1 - before.1) * count as f64;
+        // At the start, two balancers of each zone list, four watch, each anew when its role changes, and the reader
+        // watches for 1.5 s at a time in the last 6 s. Later, the three others watch for 30 s at a time.
+        let zone_count = zone_count as f64;
+        assert!(
+            added_at_start <= zone_count * 14.0,
+            "{count}: {added_at_start}"
+        );
+        assert!(added_later <= zone_count * 46.0, "{count}: {added_later}");
+    }
+}
--- a/crates/steering/tests/frozen_peers.rs
+++ b/crates/steering/tests/frozen_peers.rs
@@ -101,6 +101,7 @@
             node.freshness = Freshness {
                 version: 1,
                 position: at(1),
+                evacuations: None,
             };
         }
         fleet.run(Duration::from_secs(bound) - restart);
@@ -116,6 +117,7 @@
     gossip.set_freshness(Freshness {
         version: 1,
         position: at(1),
+        evacuations: None,
     });
     report_as_peers(&mut gossip, Duration::ZERO, peers);
     gossip
--- a/crates/steering/tests/gossip.rs
+++ b/crates/steering/tests/gossip.rs
@@ -57,6 +57,7 @@
         first.freshness = Freshness {
             version: 5,
             position: at(50),
+            evacuations: None,
         };
         fleet.run(Duration::from_secs(bound));
         let is_everywhere = fleet.nodes.values().all(|node| node.freshness.version == 5);
@@ -146,6 +147,7 @@
     peer.set_freshness(Freshness {
         version: 5,
         position: at(50),
+        evacuations: None,
     });
     let mut fetches = 0;
     let mut run = |gossip: &mut Gossip, from: u64, to: u64| {
@@ -207,6 +209,7 @@
     reader.expect("another zone has a reader").freshness = Freshness {
         version: 5,
         position: at(50),
+        evacuations: None,
     };
     // The platform expects a configuration to be active within 5 s in deployments of this size.
     fleet.run(Duration::from_secs(5));
--- a/crates/steering/tests/restored_store.rs
+++ b/crates/steering/tests/restored_store.rs
@@ -114,12 +114,14 @@
     gossip.set_freshness(Freshness {
         version: 5,
         position: own,
+        evacuations: None,
     });
     let report = Report {
         from: peer_info("peer"),
         freshness: Freshness {
             version: 5,
             position: reported,
+            evacuations: None,
         },
         readers: Vec::new(),
         ended: Vec::new(),
--- a/crates/steering/tests/support/fleet.rs
+++ b/crates/steering/tests/support/fleet.rs
@@ -18,6 +18,7 @@
         epoch: 1,
         revision: 50,
     },
+    evacuations: None,
 };
 
 pub struct Node {
@@ -169,6 +170,7 @@
             node.freshness = Freshness {
                 version: 1,
                 position: at(1),
+                evacuations: None,
             };
         }
         fleet.run(Duration::from_secs(15));
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod evacuation_fleet;
 pub mod fleet;
+pub mod virtual_store;
 
 use {
     skylarkflow_policy::flow::Key,
