Report at once to balancers that wait for the evacuations

Cause: a balancer that follows evacuations is ready only when a peer has told it these, and reports went out at intervals of 100 and 500 ms. In a deployment whose upstreams fit into one page, a balancer was ready about 0.1 s after its start instead of a few milliseconds, which callers notice when all balancers have lost power.

Change: the first report goes out as soon as registered peers are known, the next one as soon as the evacuations are, and a peer that starts gets one in return. None of this applies where evacuations are not followed. The emulated fleet of the tests plays a store without other writes, too.

--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -129,6 +129,7 @@
 ) {
     let state = Arc::clone(sources.state());
     let mut buffer = [0; MAX_REPORT_BYTES];
+    let mut evacuations_known = sources.subscribe_evacuations_known();
     let (progress_sender, mut fetch_progress) = mpsc::unbounded_channel();
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -139,14 +140,22 @@
                     receive_report(&state, &mut gossip, from, &buffer[..length]);
                 }
                 // Without tables, fetch them from the first peer that reports some instead of at the next tick.
-                let freshness = sources.freshness();
-                let lacks_evacuations = sources.follows_evacuations() && freshness.evacuations.is_none();
-                if freshness.position == Position::default() || lacks_evacuations {
+                if sources.freshness().position == Position::default() || sources.lacks_evacuations() {
                     gossip.tick(state.clock.now());
                 }
             }
             Some(id) = channels.ended_upstreams.recv() => gossip.record_ended_upstream(state.clock.now(), id),
-            Some(peers) = channels.registered_peers.recv() => gossip.set_registered_peers(state.clock.now(), peers),
+            Some(peers) = channels.registered_peers.recv() => {
+                gossip.set_registered_peers(state.clock.now(), peers);
+                if sources.lacks_evacuations() {
+                    gossip.tick(state.clock.now());
+                }
+            }
+            // Peers that start wait for them.
+            Ok(()) = evacuations_known.changed() => {
+                gossip.set_freshness(sources.freshness());
+                gossip.tick(state.clock.now());
+            }
             Some(progress) = fetch_progress.recv() => {
                 handle_progress(&sources, &mut gossip, &channels, progress);
                 // Peers that wait for the tables learn at once that this balancer has them.
--- a/crates/skylarkflow/src/steer_sources.rs
+++ b/crates/skylarkflow/src/steer_sources.rs
@@ -27,6 +27,7 @@
     inputs: Mutex<TableInputs>,
     /// Highest known epoch of the store.
     epoch: watch::Sender<Epoch>,
+    evacuations_known: watch::Sender<bool>,
 }
 
 struct TableInputs {
@@ -77,6 +78,7 @@
                 evacuations: follows_evacuations.then(Evacuations::default),
             }),
             epoch: watch::Sender::new(0),
+            evacuations_known: watch::Sender::new(false),
         }
     }
 
@@ -175,6 +177,16 @@
         self.inputs().evacuations.is_some()
     }
 
+    /// Returns whether new flows have to wait for the evacuations.
+    pub fn lacks_evacuations(&self) -> bool {
+        !self.inputs().knows_evacuations()
+    }
+
+    /// Returns a receiver that is notified when the evacuations become known.
+    pub fn subscribe_evacuations_known(&self) -> watch::Receiver<bool> {
+        self.evacuations_known.subscribe()
+    }
+
     /// Returns the position of the store up to which evacuations are known.
     pub fn evacuations_known_up_to(&self) -> Option<Position> {
         let inputs = self.inputs();
@@ -385,6 +397,9 @@
         if before != after || was_known != is_known {
             self.publish_table();
         }
+        if was_known != is_known {
+            self.evacuations_known.send_replace(true);
+        }
     }
 
     fn record_evacuations(&self, before: &Zones, after: &Zones) {
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -8,89 +8,15 @@
 //! grow with the zones instead of the balancers.
 
 use {
-    crate::{
-        fetches::{self, Fetches},
-        position::Position,
-        upstream::UpstreamId,
-    },
+    crate::{fetches::Fetches, position::Position, upstream::UpstreamId},
     skylarkflow_policy::id::{Map, Set},
     std::{cmp::Reverse, collections::BTreeMap, mem, net::SocketAddr, time::Duration},
 };
 
-pub use crate::report::{Freshness, Heartbeat, Name, PeerInfo, Report, Role};
-
-/// Settings of a [`Gossip`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Settings {
-    /// Interval between reports while there is no news.
-    pub report_interval: Duration,
-    /// Minimum interval between reports while there is news.
-    pub min_report_interval: Duration,
-    /// Maximum number of balancers of the own zone that get a report. They are at distances 1, 2, 4 and so on in a ring
-    /// ordered by name, so that news reaches all in a logarithmic number of hops and each gets as many reports as it
-    /// sends.
-    pub fanout: usize,
-    /// Number of balancers of each other zone to which a reader sends a report, different ones each time.
-    pub remote_fanout: usize,
-    /// Number of readers in each zone.
-    pub readers: usize,
-    /// Number of balancers of each zone, in the order of names, that watch a replica of the store although their zone
-    /// has a reader, so that a change does not wait for the next reader when one ends.
-    pub watchers: usize,
-    /// Time for which the calls of a reader may fail before it gives up its role; longer than the retry of a failed watch
-    /// takes to show that the store is reachable again.
-    pub reader_failure_timeout: Duration,
-    /// Time without a reader after which a follower watches the store itself; longer than a takeover usually needs.
-    pub follower_patience: Duration,
-    /// Age of the last heartbeat at which a reader is considered dead, and of the last report from which tables are
-    /// fetched.
-    pub heartbeat_timeout: Duration,
-    /// Age of the last report at which a balancer that is not registered is removed, and at which heartbeats are.
-    pub member_timeout: Duration,
-    /// Time for which reports contain an upstream that has ended.
-    pub ended_report_time: Duration,
-    /// Time for which a peer may have newer tables before they are fetched, as the response of the store is usually
-    /// on its way; longer than the pause between two watches.
-    pub fetch_delay: Duration,
-    /// Time from the start to the first election, in which balancers that start together discover each other.
-    pub first_election_delay: Duration,
-    /// Delay before a balancer takes over from a missing reader, for each balancer of its zone with a lower name.
-    pub takeover_delay: Duration,
-    /// Number of balancers of each zone, in the order of names, that list the store at their start without waiting for
-    /// the tables of a peer; two, so that the loss of one causes no delay.
-    pub initial_listers: usize,
-    /// Fetches of the tables of peers.
-    pub fetches: fetches::Settings,
-    /// Minimum time between two requests to read the store because no peer supplies its newer tables.
-    pub min_store_read_interval: Duration,
-    /// Whether this balancer follows the evacuations of zones.
-    pub follows_evacuations: bool,
-}
-
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
-            report_interval: Duration::from_millis(500),
-            min_report_interval: Duration::from_millis(100),
-            fanout: 10,
-            remote_fanout: 1,
-            readers: 1,
-            watchers: 4,
-            reader_failure_timeout: Duration::from_secs(4),
-            follower_patience: Duration::from_secs(1),
-            heartbeat_timeout: Duration::from_secs(3),
-            member_timeout: Duration::from_secs(60),
-            ended_report_time: Duration::from_secs(2),
-            fetch_delay: Duration::from_millis(600),
-            first_election_delay: Duration::from_secs(4),
-            takeover_delay: Duration::from_millis(100),
-            initial_listers: 2,
-            fetches: fetches::Settings::default(),
-            min_store_read_interval: Duration::from_secs(3),
-            follows_evacuations: false,
-        }
-    }
-}
+pub use crate::{
+    gossip_settings::Settings,
+    report::{Freshness, Heartbeat, Name, PeerInfo, Report, Role},
+};
 
 /// Task for the caller of [`Gossip`].
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -144,6 +70,8 @@
     ended: Map<UpstreamId, Duration>,
     last_report_at: Duration,
     has_news: bool,
+    /// Whether balancers that start wait for the next report.
+    has_urgent_news: bool,
     /// Whether calls to the store fail, so that only peers can supply newer tables.
     is_store_unreachable: bool,
     /// Time since which calls to the store fail.
@@ -175,6 +103,7 @@
             ended: Map::default(),
             last_report_at: Duration::ZERO,
             has_news: true,
+            has_urgent_news: false,
             is_store_unreachable: false,
             unreachable_since: None,
             reader_missing_since: None,
@@ -235,6 +164,8 @@
         }
         if !self.has_registered_peers {
             self.has_registered_peers = true;
+            // The peers that hear of this balancer respond with what it has to know before it is ready.
+            self.has_urgent_news = self.lacks_evacuations();
             if self.rank() < self.settings.initial_listers {
                 self.actions.push(Action::ListStore);
                 // The zone has no reader for some seconds if all balancers were restarted, and the lists of all may come
@@ -267,6 +198,7 @@
     /// Records how new the tables of this balancer are.
     pub fn set_freshness(&mut self, freshness: Freshness) {
         if freshness != self.freshness {
+            self.has_urgent_news |= self.lacks_evacuations() && freshness.evacuations.is_some();
             self.freshness = freshness;
             self.has_news = true;
         }
@@ -313,9 +245,25 @@
             last_heard: Some(now),
             freshness,
         };
-        let known = self.members.insert(member.info.name.clone(), member);
+        let known = self
+            .members
+            .insert(member.info.name.clone(), member.clone());
         // A new member gets a report at once, with the readers and the versions of the tables.
         self.has_news |= known.is_none();
+        self.welcome(now, &member, known.as_ref());
+    }
+
+    /// Sends a report to a peer that has just started and may wait for the evacuations.
+    fn welcome(&mut self, now: Duration, member: &Member, known: Option<&Member>) {
+        let had_evacuations = known.is_some_and(|known| known.freshness.evacuations.is_some());
+        let is_first_report = known.is_none_or(|known| known.last_heard.is_none());
+        let lacks_evacuations = member.freshness.evacuations.is_none();
+        let has_started = lacks_evacuations && (had_evacuations || is_first_report);
+        if has_started && self.freshness.evacuations.is_some() {
+            let report = self.report(now);
+            self.actions
+                .push(Action::SendReport(member.info.address, report));
+        }
     }
 
     /// Updates the role, requests newer tables and sends reports when they are due; to be called at least every
@@ -326,7 +274,9 @@
             .retain(|_, at| now < *at + settings.ended_report_time);
         self.update_role(now);
         self.fetch_newer_tables(now);
-        let interval = if self.has_news {
+        let interval = if self.has_urgent_news {
+            Duration::ZERO
+        } else if self.has_news {
             settings.min_report_interval
         } else {
             settings.report_interval
@@ -519,6 +469,7 @@
     fn send_reports(&mut self, now: Duration) {
         self.last_report_at = now;
         self.has_news = false;
+        self.has_urgent_news = false;
         self.sequence += 1;
         if self.is_reader() {
             let heartbeat = Heartbeat {
@@ -528,12 +479,7 @@
             };
             self.record_heartbeat(now, heartbeat);
         }
-        let report = Report {
-            from: self.local.clone(),
-            freshness: self.freshness,
-            readers: self.live_readers(now),
-            ended: self.ended.keys().copied().collect(),
-        };
+        let report = self.report(now);
         let receivers = self.report_receivers();
         let sends = receivers
             .into_iter()
@@ -541,6 +487,15 @@
         self.actions.extend(sends);
     }
 
+    fn report(&self, now: Duration) -> Report {
+        Report {
+            from: self.local.clone(),
+            freshness: self.freshness,
+            readers: self.live_readers(now),
+            ended: self.ended.keys().copied().collect(),
+        }
+    }
+
     fn live_readers(&self, now: Duration) -> Vec<Heartbeat> {
         let heartbeat_timeout = self.settings.heartbeat_timeout;
         let live = self
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fault_injection;
 pub mod fetches;
 pub mod gossip;
+mod gossip_settings;
 pub mod lifecycle;
 pub mod list_watch;
 pub mod liveness;
--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -4,9 +4,14 @@
 mod support;
 
 use {
-    skylarkflow_steering::{evacuation::Zones, list_watch},
+    skylarkflow_steering::{
+        evacuation::Zones,
+        gossip::{Action, Freshness, Gossip, Report, Settings},
+        list_watch,
+        position::Position,
+    },
     std::time::Duration,
-    support::{evacuation_fleet::Fleet, ms, virtual_store::Store},
+    support::{at, evacuation_fleet::Fleet, fleet::peer_info, ms, virtual_store::Store},
 };
 
 /// Time in which an evacuation has to be in force on every connected balancer.
@@ -21,10 +26,21 @@
         .collect()
 }
 
+/// Sizes of fleets with their zones.
+const FLEETS: [(usize, usize); 4] = [(1, 1), (8, 3), (60, 4), (300, 5)];
+
+/// Returns cases in which upstreams write to the store all the time, so that tables are fetched anyway, and in which only
+/// the evacuations change.
+fn cases() -> impl Iterator<Item = (usize, usize, u64)> {
+    let fleets = FLEETS.into_iter();
+    fleets.flat_map(|(count, zones)| [(count, zones, 5), (count, zones, 0)])
+}
+
 #[test]
 fn an_evacuation_is_in_force_on_every_balancer_within_the_bound() {
-    for (count, zone_count) in [(1, 1), (8, 3), (60, 4), (300, 5)] {
+    for (count, zone_count, other_writes) in cases() {
         let mut fleet = Fleet::settled(count, zone_count);
+        fleet.other_writes = other_writes;
         fleet.store.evacuate(ZONE);
         let started_at = fleet.now;
         while fleet.count_placing_in(ZONE) > 0 {
@@ -32,7 +48,7 @@
             assert!(fleet.now <= started_at + BOUND, "{count} balancers");
         }
         println!(
-            "{count} balancers: in force after {:?}",
+            "{count} balancers, {other_writes} other writes: in force after {:?}",
             fleet.now - started_at
         );
         fleet.store.remove(ZONE);
@@ -163,17 +179,27 @@
 
 #[test]
 fn an_evacuation_that_a_restored_store_lacks_is_kept_until_the_entry_is_written_and_removed() {
-    let mut fleet = Fleet::settled(60, 4);
+    for (count, zone_count, other_writes) in cases() {
+        check_restore_without_the_entry(count, zone_count, other_writes);
+    }
+}
+
+fn check_restore_without_the_entry(count: usize, zone_count: usize, other_writes: u64) {
+    let mut fleet = Fleet::settled(count, zone_count);
+    fleet.other_writes = other_writes;
     let copy = fleet.store.current.clone();
     fleet.store.evacuate(ZONE);
     fleet.run(BOUND);
     fleet.store.restore(copy);
     fleet.run(BOUND);
     assert_eq!(fleet.zones(), zones(&[(ZONE, false)]));
+    if count == 1 {
+        return;
+    }
     // A list of the same epoch, and the start of a balancer, prove nothing either.
     fleet.store.compact();
     fleet.restart(0);
-    fleet.restart(9);
+    fleet.restart(count - 1);
     fleet.run(Duration::from_secs(10));
     assert_eq!(fleet.zones(), zones(&[(ZONE, false)]));
     fleet.store.evacuate(ZONE);
@@ -187,7 +213,7 @@
 /// Guards against a balancer that is ready before it knows the evacuations, which places flows in an evacuated zone.
 #[test]
 fn balancers_that_start_all_at_once_place_no_flows_in_an_evacuated_zone() {
-    for (count, zone_count) in [(1, 1), (8, 3), (60, 4), (300, 5)] {
+    for (count, zone_count) in FLEETS {
         let mut store = Store::default();
         store.evacuate(ZONE);
         let mut fleet = Fleet::start(count, zone_count, store, true);
@@ -288,3 +314,67 @@
         assert!(added_later <= zone_count * 46.0, "{count}: {added_later}");
     }
 }
+
+fn freshness(evacuations: Option<Position>) -> Freshness {
+    Freshness {
+        version: 1,
+        position: at(50),
+        evacuations,
+    }
+}
+
+/// Returns how many reports a balancer that knows the evacuations sends at once when it gets one from a peer.
+fn responses(gossip: &mut Gossip, now: Duration, evacuations: Option<Position>) -> usize {
+    let report = Report {
+        from: peer_info(1, 1),
+        freshness: freshness(evacuations),
+        readers: Vec::new(),
+        ended: Vec::new(),
+    };
+    gossip.handle_report(now, report);
+    let sent = gossip.take_actions().into_iter();
+    sent.filter(|action| matches!(action, Action::SendReport(..)))
+        .count()
+}
+
+/// Guards against a balancer that is not ready for the time of a report interval after its start, in which all callers
+/// wait if all balancers have lost power, and against a response to each report of one that does not follow evacuations.
+#[test]
+fn a_peer_that_starts_gets_a_report_at_once() {
+    let settings = Settings {
+        follows_evacuations: true,
+        ..Settings::default()
+    };
+    let mut gossip = Gossip::new(settings, peer_info(0, 1), 1);
+    gossip.set_freshness(freshness(Some(at(9))));
+    assert_eq!(responses(&mut gossip, ms(0), None), 1);
+    assert_eq!(responses(&mut gossip, ms(500), None), 0);
+    assert_eq!(responses(&mut gossip, ms(1_000), Some(at(9))), 0);
+    assert_eq!(responses(&mut gossip, ms(1_500), None), 1);
+    let mut other = Gossip::new(Settings::default(), peer_info(0, 1), 1);
+    other.set_freshness(freshness(None));
+    assert_eq!(responses(&mut other, ms(0), None), 0);
+}
+
+/// Guards against the same delay when the balancer that lists for the others reports only at its next interval.
+#[test]
+fn a_balancer_reports_at_once_that_it_knows_the_evacuations() {
+    let settings = Settings {
+        follows_evacuations: true,
+        ..Settings::default()
+    };
+    let mut gossip = Gossip::new(settings, peer_info(0, 1), 1);
+    let reports = |gossip: &mut Gossip, now| {
+        gossip.tick(now);
+        let actions = gossip.take_actions().into_iter();
+        actions
+            .filter(|action| matches!(action, Action::SendReport(..)))
+            .count()
+    };
+    gossip.set_registered_peers(ms(2), vec![peer_info(1, 1)]);
+    assert_eq!(reports(&mut gossip, ms(3)), 1);
+    assert_eq!(reports(&mut gossip, ms(4)), 0);
+    gossip.set_freshness(freshness(Some(at(9))));
+    assert_eq!(reports(&mut gossip, ms(5)), 1);
+    assert_eq!(reports(&mut gossip, ms(6)), 0);
+}
--- a/crates/steering/tests/support/evacuation_fleet.rs
+++ b/crates/steering/tests/support/evacuation_fleet.rs
@@ -61,6 +61,8 @@
     pub nodes: BTreeMap<SocketAddr, Node>,
     zones: usize,
     follows_evacuations: bool,
+    /// Writes of upstreams in each step.
+    pub other_writes: u64,
 }
 
 impl Sync {
@@ -204,7 +206,7 @@
                     Some((position, changes)) => {
                         let has_news = match sync.kind {
                             Kind::Config => false,
-                            Kind::Upstreams => position.revision > revision,
+                            Kind::Upstreams => store.current.others_at > revision,
                             Kind::Evacuations => !changes.is_empty(),
                         };
                         if !has_news && sync.watch_end > Some(now) {
@@ -269,6 +271,7 @@
             nodes: BTreeMap::new(),
             zones,
             follows_evacuations,
+            other_writes: 5,
         };
         let infos: Vec<PeerInfo> = (0..count).map(|index| peer_info(index, zones)).collect();
         for info in &infos {
@@ -317,7 +320,7 @@
     fn step(&mut self) {
         // Upstreams write their heartbeats all the time.
         if self.store.is_up {
-            self.store.write_others(5);
+            self.store.write_others(self.other_writes);
         }
         let now = self.now;
         let mut actions = Vec::new();
--- a/crates/steering/tests/support/virtual_store.rs
+++ b/crates/steering/tests/support/virtual_store.rs
@@ -16,6 +16,8 @@
     pub revision: Revision,
     pub entries: BTreeMap<String, Observation>,
     pub changes: Vec<Observation>,
+    /// Revision of the last write of an object of another kind.
+    pub others_at: Revision,
 }
 
 /// The store, which can be restored from a copy.
@@ -62,7 +64,10 @@
 
     /// Writes objects of other kinds.
     pub fn write_others(&mut self, count: u64) {
-        self.current.revision += count;
+        if count > 0 {
+            self.current.revision += count;
+            self.current.others_at = self.current.revision;
+        }
     }
 
     pub fn compact(&mut self) {
