Merge the evacuation of availability zones

Beside the merge: held packets are handled at each new table, since a table may not accept new flows before the evacuations are known, and a balancer is ready only with both.

--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -54,7 +54,7 @@
     table: Option<Arc<Table>>,
     table_generation: u64,
     next_sweep: Duration,
-    /// Packets that arrived before the first table.
+    /// Packets that arrived before a table from which they can be handled.
     held: HeldPackets,
     channels: Channels,
 }
@@ -136,11 +136,9 @@
         if let Some(Some(table)) = self.state.try_table() {
             self.balancer
                 .update_table(now, self.table.as_deref(), &table);
-            let is_first = self.table.replace(table).is_none();
+            self.table = Some(table);
             self.table_generation = table_generation;
-            if is_first {
-                self.handle_held_packets(now);
-            }
+            self.handle_held_packets(now);
         }
     }
 
@@ -261,6 +259,7 @@
 
     fn record_drop(&self, now: Duration, segment: &Segment, reason: DropReason) {
         let counter = match reason {
+            DropReason::DuplicateOpening => Counter::PacketsDuplicate,
             DropReason::NoTable => Counter::PacketsWithoutTable,
             DropReason::UnknownCookie => Counter::PacketsUnknownCookie,
         };
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -57,6 +57,8 @@
     pub role: watch::Sender<Role>,
     /// Whether a peer can provide or has provided its tables at the start.
     pub peer_tables: watch::Sender<PeerTables>,
+    /// Whether a peer can provide or has provided the evacuations at the start.
+    pub peer_evacuations: watch::Sender<PeerTables>,
     /// Number of requests to read the current state of the store.
     pub store_reads: watch::Sender<u64>,
     /// Events for the packet thread.
@@ -76,6 +78,18 @@
 
     fn list_store(&self) {
         self.peer_tables.send_replace(PeerTables::Unavailable);
+        self.peer_evacuations.send_replace(PeerTables::Unavailable);
+    }
+
+    /// Records that the evacuations are known, so that they need not be listed.
+    fn receive_evacuations(&self, position: Position) {
+        self.peer_evacuations.send_if_modified(|tables| {
+            let is_first = !matches!(tables, PeerTables::Received(_));
+            if is_first {
+                *tables = PeerTables::Received(position);
+            }
+            is_first
+        });
     }
 
     fn read_store(&self, state: &State) {
@@ -115,6 +129,7 @@
 ) {
     let state = Arc::clone(sources.state());
     let mut buffer = [0; MAX_REPORT_BYTES];
+    let mut evacuations_known = sources.subscribe_evacuations_known();
     let (progress_sender, mut fetch_progress) = mpsc::unbounded_channel();
     let mut ticks = time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -125,12 +140,22 @@
                     receive_report(&state, &mut gossip, from, &buffer[..length]);
                 }
                 // Without tables, fetch them from the first peer that reports some instead of at the next tick.
-                if sources.freshness().position == Position::default() {
+                if sources.freshness().position == Position::default() || sources.lacks_evacuations() {
                     gossip.tick(state.clock.now());
                 }
             }
             Some(id) = channels.ended_upstreams.recv() => gossip.record_ended_upstream(state.clock.now(), id),
-            Some(peers) = channels.registered_peers.recv() => gossip.set_registered_peers(state.clock.now(), peers),
+            Some(peers) = channels.registered_peers.recv() => {
+                gossip.set_registered_peers(state.clock.now(), peers);
+                if sources.lacks_evacuations() {
+                    gossip.tick(state.clock.now());
+                }
+            }
+            // Peers that start wait for them.
+            Ok(()) = evacuations_known.changed() => {
+                gossip.set_freshness(sources.freshness());
+                gossip.tick(state.clock.now());
+            }
             Some(progress) = fetch_progress.recv() => {
                 handle_progress(&sources, &mut gossip, &channels, progress);
                 // Peers that wait for the tables learn at once that this balancer has them.
@@ -183,6 +208,9 @@
                 let received = PeerTables::Received(position);
                 channels.peer_tables.send_replace(received);
             }
+            if let Some(position) = sources.evacuations_known_up_to() {
+                channels.receive_evacuations(position);
+            }
         }
         FetchProgress::Finished(address, Err(error)) => {
             gossip.finish_fetch(now, address, false);
@@ -234,7 +262,9 @@
     freshness: Freshness,
     progress: &UnboundedSender<FetchProgress>,
 ) -> Result<Merged, FetchError> {
-    let Freshness { version, position } = freshness;
+    let Freshness {
+        version, position, ..
+    } = freshness;
     let Position { epoch, revision } = position;
     let url = format!("http://{address}{TABLES_PATH}?version={version}&revision={revision}");
     // Balancers of earlier versions, which know no epochs, ignore the last parameter.
@@ -279,6 +309,7 @@
     let tables = sources.tables_after(Freshness {
         version: query.version,
         position,
+        evacuations: None,
     });
     tables::to_vec(tables).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
