Place fewer flows on upstreams that respond slowly

A balancer sees a small share of the load, so its own counts do not show that an upstream is slower than the others, and slow upstreams get as many flows as fast ones until their queues are full.

With load.placement set to learned, the latencies of responses are compared with the usual one of their route, refusals left out. A slow upstream is left out of a share of the decisions. Balancers tell those of their zone which upstreams are slow, in an optional field of the reports. Without evidence the decisions are those by counts.

--- a/crates/peer/src/report.rs
+++ b/crates/peer/src/report.rs
@@ -6,6 +6,7 @@
     skylarkflow_steering::{
         gossip::{Freshness, Heartbeat, PeerInfo, Report},
         position::{Epoch, Position},
+        speed::Notice,
     },
     std::net::SocketAddr,
 };
@@ -14,8 +15,9 @@
 const VERSION: u8 = 1;
 
 /// A report with its fields by position, which keeps it short: name, zone and address of the sender, version and
-/// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, and the epoch of
-/// the revision, which reports of older versions lack and their balancers ignore.
+/// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, the epoch of the
+/// revision, and the slow upstreams with the levels of their slowness. Reports of older versions lack the last two, and
+/// their balancers ignore them.
 #[derive(Deserialize, Serialize)]
 struct ReportWire(
     String,
@@ -26,6 +28,7 @@
     Vec<(String, u64, u64)>,
     Vec<u64>,
     #[serde(default)] Epoch,
+    #[serde(default)] Vec<(u64, i8)>,
 );
 
 impl From<Report> for ReportWire {
@@ -35,6 +38,7 @@
             freshness,
             readers,
             ended,
+            slow,
         } = report;
         let readers = readers.into_iter();
         ReportWire(
@@ -48,13 +52,16 @@
                 .collect(),
             ended,
             freshness.position.epoch,
+            slow.into_iter()
+                .map(|notice| (notice.id, notice.level))
+                .collect(),
         )
     }
 }
 
 impl From<ReportWire> for Report {
     fn from(wire: ReportWire) -> Report {
-        let ReportWire(name, zone, address, version, revision, readers, ended, epoch) = wire;
+        let ReportWire(name, zone, address, version, revision, readers, ended, epoch, slow) = wire;
         let heartbeat = |(name, incarnation, sequence): (String, u64, u64)| Heartbeat {
             name,
             incarnation,
@@ -72,6 +79,10 @@
             },
             readers: readers.into_iter().map(heartbeat).collect(),
             ended,
+            slow: slow
+                .into_iter()
+                .map(|(id, level)| Notice { id, level })
+                .collect(),
         }
     }
 }
--- a/crates/peer/tests/report.rs
+++ b/crates/peer/tests/report.rs
@@ -5,11 +5,12 @@
     skylarkflow_steering::{
         gossip::{Freshness, Heartbeat, PeerInfo, Report},
         position::{Epoch, Position},
+        speed::{MAX_NOTICES, Notice},
     },
     std::net::SocketAddr,
 };
 
-/// A report as balancers encode it that do not know epochs, without the format version.
+/// A report as balancers encode it that know neither epochs nor slow upstreams, without the format version.
 type EarlierReport = (
     String,
     String,
@@ -43,6 +44,7 @@
             sequence: 4,
         }],
         ended: vec![7],
+        slow: vec![Notice { id: 8, level: 5 }],
     }
 }
 
@@ -80,8 +82,27 @@
 fn reports_are_readable_across_versions() {
     let mut bytes = vec![VERSION];
     ciborium::into_writer(&earlier(&sample(0)), &mut bytes).expect("bytes");
-    assert_eq!(report::from_slice(&bytes).expect("a report"), sample(0));
+    let expected = Report {
+        slow: Vec::new(),
+        ..sample(0)
+    };
+    assert_eq!(report::from_slice(&bytes).expect("a report"), expected);
     let bytes = report::to_vec(sample(2)).expect("bytes");
     let decoded: EarlierReport = ciborium::from_reader(&bytes[1..]).expect("an earlier report");
     assert_eq!(decoded, earlier(&sample(2)));
 }
+
+/// Guards against reports that exceed the limit of a datagram, 2,048 bytes, when many upstreams are slow.
+#[test]
+fn a_report_with_the_most_slow_upstreams_fits_into_a_datagram() {
+    let notice = |id: u64| Notice {
+        id: u64::MAX - id,
+        level: i8::MIN,
+    };
+    let report = Report {
+        slow: (0..MAX_NOTICES as u64).map(notice).collect(),
+        ..sample(2)
+    };
+    let length = report::to_vec(report).expect("bytes").len();
+    assert!(length < 600, "{length} bytes");
+}
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -117,6 +117,10 @@
     5119 UPSTREAMS_CONTRADICTED Warn "upstream"
         "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
     5120 STORE_READ_REQUESTED Info "store" "The current state of the store is read at the start, or as peers have newer tables and none supplies them.";
+    5141 UPSTREAM_SLOW Info "upstream"
+        "An upstream responds clearly slower than the others of its routes and gets fewer new flows.";
+    5142 UPSTREAM_USUAL Info "upstream"
+        "An upstream is no longer known to be slow and gets its usual share of new flows.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -114,6 +114,8 @@
     Flows "flows.open" "flows" "Flow entries of this balancer.";
     TableVersion "steer.version" "version" "Version of the configuration that is active at a steering balancer.";
     UpstreamsKnown "steer.upstreams" "upstreams" "Upstreams that are registered in the store.";
+    UpstreamsSlow "steer.slow_upstreams" "upstreams"
+        "Upstreams that respond clearly slower than the others of their routes.";
     StoreEpoch "steer.store_epoch" "epoch"
         "Epoch of the store, which rises when the store is restored from an older copy.";
     StoreRevision "steer.store_revision" "revision"
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -15,6 +15,7 @@
         cookie::Cookie,
         liveness::ProbeOutcome,
         segment::{Kind, Segment},
+        speed::{self, Notice},
         table::Table,
         upstream::{Upstream, UpstreamId},
     },
@@ -73,6 +74,8 @@
     ProbeCompleted(ProbeReport),
     /// Another balancer has reported that the upstream has ended.
     SuspectedByPeer(UpstreamId),
+    /// Another balancer has found the upstream to be slow.
+    SlowAtPeer(Notice),
 }
 
 impl Forwarder {
@@ -147,6 +150,9 @@
                 UpstreamEvent::SuspectedByPeer(id) => {
                     self.balancer.suspect_upstream(now, table, id)
                 }
+                UpstreamEvent::SlowAtPeer(notice) => {
+                    self.balancer.record_slow_upstream(now, table, notice);
+                }
             }
         }
     }
@@ -273,6 +279,7 @@
                     .state
                     .event_log
                     .record(&event::UPSTREAM_RESTORED, format_args!("upstream {id:x}")),
+                Action::SpeedChanged(change) => self.record_speed_change(now, change),
                 Action::HealthChanged(change) => self.record_health_change(now, change),
             }
         }
@@ -318,10 +325,31 @@
             self.balancer
                 .drain_samples(|samples| latencies.record(samples));
         }
+        if let Ok(mut slow_upstreams) = self.state.slow_upstreams.try_lock() {
+            *slow_upstreams = self.balancer.slow_upstreams();
+        }
+        let slow = self.balancer.slow_upstream_count() as u64;
+        self.state.metrics.set(Gauge::UpstreamsSlow, slow);
         let flows = self.balancer.flow_count() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
     }
 
+    fn record_speed_change(&self, now: Duration, change: speed::Change) {
+        let event_log = &self.state.event_log;
+        match change {
+            speed::Change::Slow(id, slowness) => event_log.record_limited(
+                now,
+                &event::UPSTREAM_SLOW,
+                format_args!("upstream {id:x}: latencies {slowness:.1} times the usual ones"),
+            ),
+            speed::Change::Usual(id) => event_log.record_limited(
+                now,
+                &event::UPSTREAM_USUAL,
+                format_args!("upstream {id:x}"),
+            ),
+        }
+    }
+
     fn record_health_change(&self, now: Duration, change: Change) {
         let event_log = &self.state.event_log;
         match change {
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -24,6 +24,7 @@
         gossip::{Action, Freshness, Gossip, PeerInfo, Report, Role},
         list_watch::PeerTables,
         position::{Epoch, Position, Revision},
+        speed::Notice,
         table::Version,
         upstream::UpstreamId,
     },
@@ -74,6 +75,13 @@
         self.waker.wake();
     }
 
+    fn record_slow_upstreams(&self, notices: Vec<Notice>) {
+        for notice in notices {
+            // Sending only fails when the receiver was dropped because the process is exiting.
+            let _ = self.upstream_events.send(UpstreamEvent::SlowAtPeer(notice));
+        }
+    }
+
     fn list_store(&self) {
         self.peer_tables.send_replace(PeerTables::Unavailable);
     }
@@ -139,6 +147,7 @@
             }
             _ = ticks.tick() => {
                 gossip.set_freshness(sources.freshness());
+                gossip.set_slow_upstreams(state.slow_upstreams());
                 gossip.set_store_unreachable(state.is_store_unreachable());
                 gossip.tick(state.clock.now());
             }
@@ -158,6 +167,7 @@
                 }
                 Action::SendReport(to, report) => send_report(&state, &socket, to, report).await,
                 Action::ProbeUpstream(id) => channels.suspect_upstream(id),
+                Action::RecordSlowUpstreams(notices) => channels.record_slow_upstreams(notices),
                 Action::ListStore => channels.list_store(),
                 Action::ReadStore => channels.read_store(&state),
                 Action::SetRole(role) => channels.set_role(&state, role),
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::{self, Error, Finding, Log},
     serde::Deserialize,
-    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch},
+    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch, placement},
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::Path,
@@ -146,6 +146,18 @@
         }
     }
 
+    /// Returns the settings of the choice of an upstream.
+    pub fn placement(&self) -> placement::Settings {
+        let policy = match self.load.placement {
+            Placement::Counts => placement::Policy::Counts,
+            Placement::Learned => placement::Policy::Learned,
+        };
+        placement::Settings {
+            policy,
+            ..placement::Settings::default()
+        }
+    }
+
     /// Returns the name, zone and address under which peers know this balancer.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
--- a/crates/skylarkflow/src/steer_state.rs
+++ b/crates/skylarkflow/src/steer_state.rs
@@ -5,7 +5,7 @@
         clock::Clock, event_log::EventLog, metrics::Metrics, steer_latency::Latencies,
         steer_sources::ObjectKind,
     },
-    skylarkflow_steering::{lifecycle::Phase, table::Table},
+    skylarkflow_steering::{lifecycle::Phase, speed::Notice, table::Table},
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -25,6 +25,8 @@
     pub metrics: Metrics,
     /// Latencies of opening packets and requests.
     pub latencies: Mutex<Latencies>,
+    /// Slow upstreams that peers are told of; the packet thread replaces them and never waits for the lock.
+    pub slow_upstreams: Mutex<Vec<Notice>>,
     table: Mutex<Option<Arc<Table>>>,
     table_generation: AtomicU64,
     phase: Mutex<Phase>,
@@ -42,6 +44,7 @@
             event_log,
             metrics,
             latencies: Mutex::new(Latencies::default()),
+            slow_upstreams: Mutex::default(),
             table: Mutex::new(None),
             table_generation: AtomicU64::new(0),
             phase: Mutex::new(phase),
@@ -51,6 +54,11 @@
         }
     }
 
+    /// Returns the slow upstreams that peers are told of.
+    pub fn slow_upstreams(&self) -> Vec<Notice> {
+        lock(&self.slow_upstreams).clone()
+    }
+
     /// Replaces the active table.
     pub fn publish_table(&self, table: Table) {
         *lock(&self.table) = Some(Arc::new(table));
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -5,8 +5,9 @@
         cookie::Cookie,
         fault_injection::{self, Fault},
         liveness::{self, LivenessTracker, ProbeOutcome},
-        placement,
+        placement::{self, Policy},
         segment::{Kind, Segment},
+        speed::{self, Notice, Speeds},
         table::{Route, Table, Target, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
         upstream::{Upstream, UpstreamId},
@@ -130,6 +131,8 @@
     },
     /// Report that an upstream which was considered dead is alive.
     UpstreamRestored(UpstreamId),
+    /// Report that an upstream was found slow or usual again.
+    SpeedChanged(speed::Change),
     /// Report that the health of an upstream has changed, so that it gets no new flows or gets them again.
     HealthChanged(Change),
 }
@@ -150,6 +153,8 @@
     tracker: FlowTracker,
     monitor: Monitor,
     liveness: LivenessTracker,
+    /// Remains without evidence unless the placement learns.
+    speeds: Speeds,
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
@@ -167,6 +172,7 @@
             monitor: Monitor::new(settings.health),
             rng: SmallRng::seed_from_u64(seed),
             liveness: LivenessTracker::new(settings.liveness),
+            speeds: Speeds::new(settings.placement.speed),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -185,6 +191,27 @@
         self.tracker.len()
     }
 
+    /// Returns the number of upstreams that are known to be slower than the others of their pool.
+    pub fn slow_upstream_count(&self) -> usize {
+        self.speeds.reported_count()
+    }
+
+    /// Returns the slow upstreams that other balancers are told of.
+    pub fn slow_upstreams(&self) -> Vec<Notice> {
+        self.speeds.notices()
+    }
+
+    /// Takes into account that another balancer has found an upstream to be slow.
+    pub fn record_slow_upstream(&mut self, now: Duration, table: Option<&Table>, notice: Notice) {
+        let is_known = || {
+            let mut known = table.into_iter().flat_map(|table| table.cookies.values());
+            known.any(|upstream| upstream.record.id == notice.id)
+        };
+        if self.settings.placement.policy == Policy::Learned && is_known() {
+            self.speeds.record_notice(now, notice);
+        }
+    }
+
     /// Returns whether an upstream is considered down because it does not answer.
     pub fn looks_down(&self, upstream: UpstreamId) -> bool {
         self.monitor.looks_down(upstream) || self.liveness.is_dead(upstream)
@@ -216,6 +243,7 @@
         for (_, upstream) in gone.filter(|(cookie, _)| !table.cookies.contains_key(cookie)) {
             self.liveness.forget(upstream.record.id);
             self.monitor.remove(upstream.record.id);
+            self.speeds.remove(upstream.record.id);
         }
         self.collect_actions(Some(table));
     }
@@ -274,6 +302,7 @@
         let idle = table.map_or(DEFAULT_IDLE_TIMEOUT, |table| table.idle_timeout);
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
+        self.speeds.tick(now);
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -304,6 +333,8 @@
     fn collect_actions(&mut self, table: Option<&Table>) {
         let changes = self.changes.drain(..).map(Action::HealthChanged);
         self.actions.extend(changes);
+        let changes = self.speeds.take_changes().into_iter();
+        self.actions.extend(changes.map(Action::SpeedChanged));
         for action in self.liveness.take_actions() {
             match action {
                 liveness::Action::Probe(id) => {
@@ -380,6 +411,7 @@
                 let id = upstream.record.id;
                 !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id)
             },
+            &self.speeds,
             &mut self.rng,
         )
     }
@@ -412,9 +444,14 @@
             is_last,
         };
         match self.tracker.record_packet(now, &packet, upstream) {
-            Evidence::Answered(_) => {
+            Evidence::Answered(response) => {
                 self.record_signal(now, upstream, Signal::Answered);
                 self.liveness.record_answer(now, id);
+                if let Some(response) = response
+                    && self.settings.placement.policy == Policy::Learned
+                {
+                    self.speeds.record(now, id, &response);
+                }
             }
             Evidence::Retransmitted => {
                 self.liveness.record_missing_answer(now, id);
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -11,6 +11,7 @@
     crate::{
         fetches::{self, Fetches},
         position::Position,
+        speed::Notice,
         upstream::UpstreamId,
     },
     skylarkflow_policy::id::{Map, Set},
@@ -104,6 +105,8 @@
     },
     /// Probe an upstream that a peer reports to have ended.
     ProbeUpstream(UpstreamId),
+    /// Take into account that a peer of the zone has found upstreams to be slow.
+    RecordSlowUpstreams(Vec<Notice>),
     /// List the store without waiting for the tables of a peer.
     ListStore,
     /// Read the current state of the store: a peer knows newer tables and none supplies them, or this balancer has just
@@ -139,6 +142,7 @@
     members: BTreeMap<Name, Member>,
     heartbeats: BTreeMap<Name, KnownHeartbeat>,
     ended: Map<UpstreamId, Duration>,
+    slow: Vec<Notice>,
     last_report_at: Duration,
     has_news: bool,
     /// Whether calls to the store fail, so that only peers can supply newer tables.
@@ -170,6 +174,7 @@
             members: BTreeMap::new(),
             heartbeats: BTreeMap::new(),
             ended: Map::default(),
+            slow: Vec::new(),
             last_report_at: Duration::ZERO,
             has_news: true,
             is_store_unreachable: false,
@@ -280,6 +285,11 @@
         self.has_news = true;
     }
 
+    /// Replaces the slow upstreams of which the next reports tell.
+    pub fn set_slow_upstreams(&mut self, slow: Vec<Notice>) {
+        self.slow = slow;
+    }
+
     /// Handles the report of a peer.
     pub fn handle_report(&mut self, now: Duration, report: Report) {
         let Report {
@@ -287,6 +297,7 @@
             freshness,
             readers,
             ended,
+            slow,
         } = report;
         if from.name == self.local.name {
             return;
@@ -298,6 +309,9 @@
             }
         }
         if is_own_zone {
+            if !slow.is_empty() {
+                self.actions.push(Action::RecordSlowUpstreams(slow));
+            }
             for heartbeat in readers {
                 self.record_heartbeat(now, heartbeat);
             }
@@ -520,6 +534,7 @@
             freshness: self.freshness,
             readers: self.live_readers(now),
             ended: self.ended.keys().copied().collect(),
+            slow: self.slow.clone(),
         };
         let receivers = self.report_receivers();
         let sends = receivers
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod balancer;
 pub mod cookie;
+pub mod cost;
 pub mod directory;
 mod directory_entry;
 pub mod fault_injection;
@@ -22,6 +23,7 @@
 pub mod position;
 pub mod report;
 pub mod segment;
+pub mod speed;
 pub mod table;
 pub mod tracker;
 pub mod upstream;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -6,14 +6,32 @@
 //! zones costs money and the other zone may be unreachable.
 
 use {
-    crate::upstream::Upstream,
+    crate::{
+        speed::{self, Speeds},
+        upstream::Upstream,
+    },
     rand::{Rng, rngs::SmallRng},
     std::{sync::Arc, time::Duration},
 };
 
+/// What the choice of an upstream depends on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// The flows and requests that this balancer has placed.
+    #[default]
+    Counts,
+    /// In addition, how slow upstreams are according to their responses. Without evidence that upstreams differ, the
+    /// choice is that of [`Policy::Counts`].
+    Learned,
+}
+
 /// Parameters of the placement score.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
+    /// What the choice depends on.
+    pub policy: Policy,
+    /// Speed of upstreams, for [`Policy::Learned`].
+    pub speed: speed::Settings,
     /// Weight of an open flow, in requests; long flows have a request in flight a tenth of the time.
     pub flow_weight: f64,
     /// Penalty for an upstream of another zone, in requests per slot.
@@ -28,6 +46,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
+            policy: Policy::default(),
+            speed: speed::Settings::default(),
             flow_weight: 0.1,
             remote_zone_penalty: 0.75,
             warmup_slot_share: 0.6,
@@ -55,14 +75,27 @@
     zone: &str,
     upstreams: &[Arc<Upstream>],
     is_usable: impl Fn(&Upstream) -> bool,
+    speeds: &Speeds,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    choose_lowest_cost(settings, now, zone, upstreams, &is_usable, rng)
-        .or_else(|| choose_lowest_cost(settings, now, zone, upstreams, &|_| true, rng))
+    let mut choose = |is_usable: &dyn Fn(&Upstream) -> bool, speeds| {
+        let context = Context {
+            settings,
+            now,
+            zone,
+            speeds,
+        };
+        choose_lowest_cost(&context, upstreams, is_usable, rng)
+    };
+    let even = Speeds::default();
+    choose(&is_usable, speeds)
+        // All usable upstreams may be slow ones that were left out by chance.
+        .or_else(|| choose(&is_usable, &even))
+        .or_else(|| choose(&|_| true, &even))
 }
 
-/// Returns the load of an upstream after one more request, in requests per slot.
-pub fn score(settings: &Settings, now: Duration, upstream: &Upstream) -> f64 {
+/// Returns the load of an upstream after one more request, in requests per slot of an upstream of usual speed.
+pub fn score(settings: &Settings, now: Duration, upstream: &Upstream, slowness: f64) -> f64 {
     let load = upstream.load_counters.load();
     let slot_share = if now < upstream.warmup_end {
         settings.warmup_slot_share
@@ -70,27 +103,33 @@
         1.0
     };
     let slots = f64::from(upstream.record.slots.max(1)) * slot_share;
-    (f64::from(load.requests) + f64::from(load.flows) * settings.flow_weight + 1.0) / slots
+    let placed = f64::from(load.requests) + f64::from(load.flows) * settings.flow_weight;
+    (placed * slowness + 1.0) / slots
 }
 
-fn choose_lowest_cost(
-    settings: &Settings,
+struct Context<'a> {
+    settings: &'a Settings,
     now: Duration,
-    zone: &str,
+    zone: &'a str,
+    speeds: &'a Speeds,
+}
+
+fn choose_lowest_cost(
+    context: &Context,
     upstreams: &[Arc<Upstream>],
-    is_usable: &impl Fn(&Upstream) -> bool,
+    is_usable: &dyn Fn(&Upstream) -> bool,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
     let mut best = Best::default();
-    if upstreams.len() <= settings.max_candidates {
+    if upstreams.len() <= context.settings.max_candidates {
         for upstream in upstreams.iter().filter(|upstream| is_usable(upstream)) {
-            best.consider(settings, now, zone, upstream, rng);
+            best.consider(context, upstream, rng);
         }
     } else {
-        for _ in 0..settings.max_candidates {
+        for _ in 0..context.settings.max_candidates {
             let upstream = &upstreams[rng.random_range(0..upstreams.len())];
             if is_usable(upstream) {
-                best.consider(settings, now, zone, upstream, rng);
+                best.consider(context, upstream, rng);
             }
         }
     }
@@ -108,15 +147,25 @@
 }
 
 impl<'a> Best<'a> {
-    fn consider(
-        &mut self,
-        settings: &Settings,
-        now: Duration,
-        zone: &str,
-        upstream: &'a Arc<Upstream>,
-        rng: &mut SmallRng,
-    ) {
-        let score = score(settings, now, upstream);
+    fn consider(&mut self, context: &Context, upstream: &'a Arc<Upstream>, rng: &mut SmallRng) {
+        let Context {
+            settings,
+            now,
+            zone,
+            speeds,
+        } = *context;
+        let mut slowness = 1.0;
+        if !speeds.is_even()
+            && let Some(slow) = speeds.slow(upstream.record.id)
+        {
+            // Other balancers place most of the load. If each of them took the lowest score, all would avoid a slow
+            // upstream, or all would choose it once the others are busy, so each leaves it out by chance.
+            if rng.random::<f64>() >= slow.share {
+                return;
+            }
+            slowness = slow.slowness;
+        }
+        let score = score(settings, now, upstream, slowness);
         let is_remote = upstream.record.zone != zone;
         let cost = score
             + if is_remote {
--- a/crates/steering/src/report.rs
+++ b/crates/steering/src/report.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         position::Position,
+        speed::Notice,
         table::Version,
         upstream::{UpstreamId, ZoneName},
     },
@@ -66,4 +67,6 @@
     pub readers: Vec<Heartbeat>,
     /// Upstreams that it has recently found to have ended.
     pub ended: Vec<UpstreamId>,
+    /// Upstreams that it has found to be slow.
+    pub slow: Vec<Notice>,
 }
--- a/crates/steering/tests/frozen_peers.rs
+++ b/crates/steering/tests/frozen_peers.rs
@@ -129,6 +129,7 @@
             freshness: NEWER,
             readers: Vec::new(),
             ended: Vec::new(),
+            slow: Vec::new(),
         };
         gossip.handle_report(now, report);
     }
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -10,6 +10,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     skylarkflow_steering::{
         placement::{self, Settings},
+        speed::Speeds,
         upstream::{Load, Upstream},
     },
     std::{cmp::Reverse, collections::BinaryHeap, sync::Arc, time::Duration},
@@ -187,7 +188,8 @@
 }
 
 fn lowest_score(upstreams: &[Arc<Upstream>], rng: &mut SmallRng) -> usize {
-    let choice = placement::choose(&Settings::default(), ms(0), "a", upstreams, |_| true, rng);
+    let (settings, speeds) = (Settings::default(), Speeds::default());
+    let choice = placement::choose(&settings, ms(0), "a", upstreams, |_| true, &speeds, rng);
     let id = choice.expect("a pool with upstreams").upstream.record.id;
     id as usize - 1
 }
--- a/crates/steering/tests/restored_store.rs
+++ b/crates/steering/tests/restored_store.rs
@@ -123,6 +123,7 @@
         },
         readers: Vec::new(),
         ended: Vec::new(),
+        slow: Vec::new(),
     };
     (0..20).any(|tick| {
         let now = ms(100 * tick);
--- a/crates/steering/tests/support/fleet.rs
+++ b/crates/steering/tests/support/fleet.rs
@@ -148,7 +148,7 @@
                     .expect("the listing balancer exists");
                 node.lists = true;
             }
-            Action::ProbeUpstream(_) | Action::SetRole(_) => {}
+            Action::ProbeUpstream(_) | Action::RecordSlowUpstreams(_) | Action::SetRole(_) => {}
         }
     }
 
