Let balancers prefer upstreams that they share with few others

With 20 or 100 balancers in a zone, each one's counts and responses say little about any upstream of the zone, so flows are placed nearly at random and slow upstreams are noticed late.

With load.placement set to subset, which includes learned, the upstreams of a zone are dealt out by the rank of the balancer among the names of its zone, five balancers to an upstream; others of the zone cost 0.5 requests a slot more. Zones of fewer than ten balancers are not divided. Decisions of counts and learned do not change.

--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -328,6 +328,9 @@
         if let Ok(mut slow_upstreams) = self.state.slow_upstreams.try_lock() {
             *slow_upstreams = self.balancer.slow_upstreams();
         }
+        if let Ok(rank) = self.state.rank.try_lock() {
+            self.balancer.set_rank(*rank, self.table.as_deref());
+        }
         let slow = self.balancer.slow_upstream_count() as u64;
         self.state.metrics.set(Gauge::UpstreamsSlow, slow);
         let flows = self.balancer.flow_count() as u64;
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -148,6 +148,7 @@
             _ = ticks.tick() => {
                 gossip.set_freshness(sources.freshness());
                 gossip.set_slow_upstreams(state.slow_upstreams());
+                state.set_rank(gossip.zone_rank());
                 gossip.set_store_unreachable(state.is_store_unreachable());
                 gossip.tick(state.clock.now());
             }
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -79,6 +79,8 @@
     Counts,
     /// By the remaining work that is learned from responses.
     Learned,
+    /// In addition, each balancer prefers some upstreams of its zone.
+    Subset,
 }
 
 /// Whether new flows are refused when upstreams have no room.
@@ -151,6 +153,7 @@
         let policy = match self.load.placement {
             Placement::Counts => placement::Policy::Counts,
             Placement::Learned => placement::Policy::Learned,
+            Placement::Subset => placement::Policy::Subset,
         };
         placement::Settings {
             policy,
--- a/crates/skylarkflow/src/steer_state.rs
+++ b/crates/skylarkflow/src/steer_state.rs
@@ -5,7 +5,7 @@
         clock::Clock, event_log::EventLog, metrics::Metrics, steer_latency::Latencies,
         steer_sources::ObjectKind,
     },
-    skylarkflow_steering::{lifecycle::Phase, speed::Notice, table::Table},
+    skylarkflow_steering::{gossip::Rank, lifecycle::Phase, speed::Notice, table::Table},
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -27,6 +27,8 @@
     pub latencies: Mutex<Latencies>,
     /// Slow upstreams that peers are told of; the packet thread replaces them and never waits for the lock.
     pub slow_upstreams: Mutex<Vec<Notice>>,
+    /// Rank among the balancers of the zone.
+    pub rank: Mutex<Rank>,
     table: Mutex<Option<Arc<Table>>>,
     table_generation: AtomicU64,
     phase: Mutex<Phase>,
@@ -45,6 +47,7 @@
             metrics,
             latencies: Mutex::new(Latencies::default()),
             slow_upstreams: Mutex::default(),
+            rank: Mutex::default(),
             table: Mutex::new(None),
             table_generation: AtomicU64::new(0),
             phase: Mutex::new(phase),
@@ -54,6 +57,11 @@
         }
     }
 
+    /// Records the rank among the balancers of the zone.
+    pub fn set_rank(&self, rank: Rank) {
+        *lock(&self.rank) = rank;
+    }
+
     /// Returns the slow upstreams that peers are told of.
     pub fn slow_upstreams(&self) -> Vec<Notice> {
         lock(&self.slow_upstreams).clone()
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -4,10 +4,12 @@
     crate::{
         cookie::Cookie,
         fault_injection::{self, Fault},
+        gossip::Rank,
         liveness::{self, LivenessTracker, ProbeOutcome},
         placement::{self, Policy},
         segment::{Kind, Segment},
         speed::{self, Notice, Speeds},
+        subset::Subset,
         table::{Route, Table, Target, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
         upstream::{Upstream, UpstreamId},
@@ -153,8 +155,10 @@
     tracker: FlowTracker,
     monitor: Monitor,
     liveness: LivenessTracker,
-    /// Remains without evidence unless the placement learns.
-    speeds: Speeds,
+    /// Remains empty unless the placement policy uses it.
+    knowledge: placement::Knowledge,
+    /// Rank among the balancers of the zone.
+    rank: Rank,
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
@@ -172,7 +176,11 @@
             monitor: Monitor::new(settings.health),
             rng: SmallRng::seed_from_u64(seed),
             liveness: LivenessTracker::new(settings.liveness),
-            speeds: Speeds::new(settings.placement.speed),
+            knowledge: placement::Knowledge {
+                speeds: Speeds::new(settings.placement.speed),
+                ..placement::Knowledge::default()
+            },
+            rank: Rank::default(),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -193,12 +201,12 @@
 
     /// Returns the number of upstreams that are known to be slower than the others of their pool.
     pub fn slow_upstream_count(&self) -> usize {
-        self.speeds.reported_count()
+        self.knowledge.speeds.reported_count()
     }
 
     /// Returns the slow upstreams that other balancers are told of.
     pub fn slow_upstreams(&self) -> Vec<Notice> {
-        self.speeds.notices()
+        self.knowledge.speeds.notices()
     }
 
     /// Takes into account that another balancer has found an upstream to be slow.
@@ -207,8 +215,8 @@
             let mut known = table.into_iter().flat_map(|table| table.cookies.values());
             known.any(|upstream| upstream.record.id == notice.id)
         };
-        if self.settings.placement.policy == Policy::Learned && is_known() {
-            self.speeds.record_notice(now, notice);
+        if self.settings.placement.policy.learns_speeds() && is_known() {
+            self.knowledge.speeds.record_notice(now, notice);
         }
     }
 
@@ -243,11 +251,30 @@
         for (_, upstream) in gone.filter(|(cookie, _)| !table.cookies.contains_key(cookie)) {
             self.liveness.forget(upstream.record.id);
             self.monitor.remove(upstream.record.id);
-            self.speeds.remove(upstream.record.id);
+            self.knowledge.speeds.remove(upstream.record.id);
         }
+        self.update_subset(Some(table));
         self.collect_actions(Some(table));
     }
 
+    /// Divides the upstreams of the zone anew if the rank among its balancers has changed.
+    pub fn set_rank(&mut self, rank: Rank, table: Option<&Table>) {
+        if rank != self.rank {
+            self.rank = rank;
+            self.update_subset(table);
+        }
+    }
+
+    fn update_subset(&mut self, table: Option<&Table>) {
+        let placement = &self.settings.placement;
+        if placement.policy == Policy::Subset
+            && let Some(table) = table
+        {
+            let (settings, zone) = (&placement.subset, &self.settings.zone);
+            self.knowledge.subset = Subset::new(settings, self.rank, zone, &table.pools);
+        }
+    }
+
     /// Handles the report of another balancer that an upstream may have ended.
     pub fn suspect_upstream(&mut self, now: Duration, table: Option<&Table>, id: UpstreamId) {
         self.liveness.record_missing_answer(now, id);
@@ -302,7 +329,7 @@
         let idle = table.map_or(DEFAULT_IDLE_TIMEOUT, |table| table.idle_timeout);
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
-        self.speeds.tick(now);
+        self.knowledge.speeds.tick(now);
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -333,7 +360,7 @@
     fn collect_actions(&mut self, table: Option<&Table>) {
         let changes = self.changes.drain(..).map(Action::HealthChanged);
         self.actions.extend(changes);
-        let changes = self.speeds.take_changes().into_iter();
+        let changes = self.knowledge.speeds.take_changes().into_iter();
         self.actions.extend(changes.map(Action::SpeedChanged));
         for action in self.liveness.take_actions() {
             match action {
@@ -411,7 +438,7 @@
                 let id = upstream.record.id;
                 !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id)
             },
-            &self.speeds,
+            &self.knowledge,
             &mut self.rng,
         )
     }
@@ -448,9 +475,9 @@
                 self.record_signal(now, upstream, Signal::Answered);
                 self.liveness.record_answer(now, id);
                 if let Some(response) = response
-                    && self.settings.placement.policy == Policy::Learned
+                    && self.settings.placement.policy.learns_speeds()
                 {
-                    self.speeds.record(now, id, &response);
+                    self.knowledge.speeds.record(now, id, &response);
                 }
             }
             Evidence::Retransmitted => {
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -18,7 +18,12 @@
     std::{cmp::Reverse, collections::BTreeMap, mem, net::SocketAddr, time::Duration},
 };
 
-pub use crate::report::{Freshness, Heartbeat, Name, PeerInfo, Report, Role};
+pub use {
+    crate::report::{Freshness, Heartbeat, Name, PeerInfo, Report, Role},
+    rank::Rank,
+};
+
+mod rank;
 
 /// Settings of a [`Gossip`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -248,14 +253,6 @@
         }
     }
 
-    /// Returns the number of members of the own zone with lower names.
-    fn rank(&self) -> usize {
-        let lower = self.members.range(..self.local.name.clone());
-        lower
-            .filter(|(_, member)| member.info.zone == self.local.zone)
-            .count()
-    }
-
     /// Records that the response to a fetch has begun.
     pub fn record_fetch_response(&mut self, address: SocketAddr) {
         self.fetches.record_response(address);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod report;
 pub mod segment;
 pub mod speed;
+pub mod subset;
 pub mod table;
 pub mod tracker;
 pub mod upstream;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         speed::{self, Speeds},
+        subset::{self, Subset},
         upstream::Upstream,
     },
     rand::{Rng, rngs::SmallRng},
@@ -23,6 +24,24 @@
     /// In addition, how slow upstreams are according to their responses. Without evidence that upstreams differ, the
     /// choice is that of [`Policy::Counts`].
     Learned,
+    /// In addition, each balancer prefers some upstreams of its zone, so that its counts are much of their load.
+    Subset,
+}
+
+impl Policy {
+    /// Returns whether the speed of upstreams is learned.
+    pub fn learns_speeds(self) -> bool {
+        matches!(self, Policy::Learned | Policy::Subset)
+    }
+}
+
+/// What a balancer knows of upstreams besides its counts; the default is nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Speeds of upstreams.
+    pub speeds: Speeds,
+    /// Preferred upstreams.
+    pub subset: Subset,
 }
 
 /// Parameters of the placement score.
@@ -32,6 +51,8 @@
     pub policy: Policy,
     /// Speed of upstreams, for [`Policy::Learned`].
     pub speed: speed::Settings,
+    /// Preferred upstreams, for [`Policy::Subset`].
+    pub subset: subset::Settings,
     /// Weight of an open flow, in requests; long flows have a request in flight a tenth of the time.
     pub flow_weight: f64,
     /// Penalty for an upstream of another zone, in requests per slot.
@@ -48,6 +69,7 @@
         Settings {
             policy: Policy::default(),
             speed: speed::Settings::default(),
+            subset: subset::Settings::default(),
             flow_weight: 0.1,
             remote_zone_penalty: 0.75,
             warmup_slot_share: 0.6,
@@ -75,23 +97,23 @@
     zone: &str,
     upstreams: &[Arc<Upstream>],
     is_usable: impl Fn(&Upstream) -> bool,
-    speeds: &Speeds,
+    knowledge: &Knowledge,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    let mut choose = |is_usable: &dyn Fn(&Upstream) -> bool, speeds| {
+    let mut choose = |is_usable: &dyn Fn(&Upstream) -> bool, speeds: Option<&Speeds>| {
         let context = Context {
             settings,
             now,
             zone,
-            speeds,
+            speeds: speeds.filter(|speeds| !speeds.is_even()),
+            subset: &knowledge.subset,
         };
         choose_lowest_cost(&context, upstreams, is_usable, rng)
     };
-    let even = Speeds::default();
-    choose(&is_usable, speeds)
+    choose(&is_usable, Some(&knowledge.speeds))
         // All usable upstreams may be slow ones that were left out by chance.
-        .or_else(|| choose(&is_usable, &even))
-        .or_else(|| choose(&|_| true, &even))
+        .or_else(|| choose(&is_usable, None))
+        .or_else(|| choose(&|_| true, None))
 }
 
 /// Returns the load of an upstream after one more request, in requests per slot of an upstream of usual speed.
@@ -111,7 +133,9 @@
     settings: &'a Settings,
     now: Duration,
     zone: &'a str,
-    speeds: &'a Speeds,
+    /// Speeds of upstreams, if any is slower than usual.
+    speeds: Option<&'a Speeds>,
+    subset: &'a Subset,
 }
 
 fn choose_lowest_cost(
@@ -153,11 +177,10 @@
             now,
             zone,
             speeds,
+            subset,
         } = *context;
         let mut slowness = 1.0;
-        if !speeds.is_even()
-            && let Some(slow) = speeds.slow(upstream.record.id)
-        {
+        if let Some(slow) = speeds.and_then(|speeds| speeds.slow(upstream.record.id)) {
             // Other balancers place most of the load. If each of them took the lowest score, all would avoid a slow
             // upstream, or all would choose it once the others are busy, so each leaves it out by chance.
             if rng.random::<f64>() >= slow.share {
@@ -166,13 +189,14 @@
             slowness = slow.slowness;
         }
         let score = score(settings, now, upstream, slowness);
-        let is_remote = upstream.record.zone != zone;
-        let cost = score
-            + if is_remote {
-                settings.remote_zone_penalty
-            } else {
-                0.0
-            };
+        let penalty = if upstream.record.zone != zone {
+            settings.remote_zone_penalty
+        } else if !subset.contains(upstream.record.id) {
+            settings.subset.penalty
+        } else {
+            0.0
+        };
+        let cost = score + penalty;
         match self.lowest {
             Some((lowest, ..)) if cost > lowest => return,
             Some((lowest, ..)) if cost == lowest => {
