Test ranks, reports of slow upstreams and the placement setting

Nothing guarded the way from the setting to the decision, nor that speeds are taken only from balancers of the own zone, whose latencies include the same way. Three tests do. The order of dealt upstreams hashes each identifier once instead of at each comparison, since a table may have thousands.

--- a/crates/skylarkflow/tests/settings.rs
+++ b/crates/skylarkflow/tests/settings.rs
@@ -3,7 +3,11 @@
 mod support;
 
 use {
-    skylarkflow::settings::{self, Admin, Drain, Limits, Settings, Workers},
+    skylarkflow::{
+        settings::{self, Admin, Drain, Limits, Settings, Workers},
+        steer_settings,
+    },
+    skylarkflow_steering::placement::Policy,
     std::{fs, net::UdpSocket, process::Command, time::Duration},
     tempfile::TempDir,
 };
@@ -143,3 +147,20 @@
         assert!(page.contains(&format!("| `{name}` |")), "{name}");
     }
 }
+
+/// Guards against a placement that is set but does not reach the decisions, or that is not the default.
+#[test]
+fn the_placement_of_a_steering_balancer_follows_its_setting() {
+    let directory = TempDir::new().expect("a temporary directory");
+    let path = directory.path().join("settings.yaml");
+    for (text, policy) in [
+        ("name: b1", Policy::Counts),
+        ("load:\n  placement: counts", Policy::Counts),
+        ("load:\n  placement: learned", Policy::Learned),
+        ("load:\n  placement: subset", Policy::Subset),
+    ] {
+        fs::write(&path, text).expect("the settings are written");
+        let settings = steer_settings::from_path(&path).expect("valid settings");
+        assert_eq!(settings.placement().policy, policy, "{text}");
+    }
+}
--- a/crates/steering/src/speed.rs
+++ b/crates/steering/src/speed.rs
@@ -243,7 +243,7 @@
         self.update(notice.id);
     }
 
-    /// Lets evidence decay and forgets routes and upstreams without any; to be called several times a second.
+    /// Lets evidence decay and forgets upstreams without any; to be called several times a second.
     pub fn tick(&mut self, now: Duration) {
         let Settings { retention, .. } = self.settings;
         let ids: Vec<UpstreamId> = self.estimates.keys().copied().collect();
--- a/crates/steering/src/subset.rs
+++ b/crates/steering/src/subset.rs
@@ -69,7 +69,7 @@
             // Each round of balancers deals the upstreams out in an order of its own, so that two balancers rarely share
             // more than one.
             let round = (rank.index / parts) as u64;
-            ids.sort_by_key(|id| (xxh3_64_with_seed(&id.to_be_bytes(), round), *id));
+            ids.sort_by_cached_key(|id| (xxh3_64_with_seed(&id.to_be_bytes(), round), *id));
             let part = rank.index % parts;
             let range = part * ids.len() / parts..(part + 1) * ids.len() / parts;
             preferred.extend(&ids[range]);
--- a/crates/steering/tests/subsets.rs
+++ b/crates/steering/tests/subsets.rs
@@ -9,14 +9,15 @@
     rand::{SeedableRng, rngs::SmallRng},
     skylarkflow_policy::id::Map,
     skylarkflow_steering::{
-        gossip::Rank,
+        gossip::{self, Action, Freshness, Gossip, Rank, Report},
         placement::{self, Knowledge},
+        speed::Notice,
         subset::{Settings, Subset},
         table::group_by_pool,
         upstream::{Load, PoolName, Upstream, UpstreamId},
     },
     std::{collections::BTreeSet, sync::Arc},
-    support::{directory, ms, record},
+    support::{directory, fleet::peer_info, ms, record},
 };
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -122,3 +123,38 @@
     let next = choose();
     assert!(next.record.zone == "a" && !knowledge.subset.contains(next.record.id));
 }
+
+fn report(index: usize, zones: usize) -> Report {
+    Report {
+        from: peer_info(index, zones),
+        freshness: Freshness::default(),
+        readers: Vec::new(),
+        ended: Vec::new(),
+        slow: vec![Notice { id: 9, level: 8 }],
+    }
+}
+
+/// Guards against ranks that count balancers of other zones or leave the own one out.
+#[test]
+fn the_rank_counts_the_balancers_of_the_zone() {
+    let mut gossip = Gossip::new(gossip::Settings::default(), peer_info(2, 2), 1);
+    assert_eq!(gossip.zone_rank(), Rank { index: 0, count: 1 });
+    gossip.set_registered_peers(ms(0), (0..7).map(|index| peer_info(index, 2)).collect());
+    assert_eq!(gossip.zone_rank(), Rank { index: 1, count: 4 });
+}
+
+/// Guards against speeds that are taken from balancers of another zone, whose latencies include a longer way.
+#[test]
+fn slow_upstreams_are_taken_from_the_own_zone_and_told_of_in_reports() {
+    let mut gossip = Gossip::new(gossip::Settings::default(), peer_info(0, 2), 1);
+    gossip.handle_report(ms(0), report(1, 2));
+    assert!(gossip.take_actions().is_empty());
+    gossip.handle_report(ms(0), report(2, 2));
+    let expected = Action::RecordSlowUpstreams(vec![Notice { id: 9, level: 8 }]);
+    assert_eq!(gossip.take_actions(), [expected]);
+    gossip.set_slow_upstreams(vec![Notice { id: 5, level: 4 }]);
+    gossip.tick(ms(600));
+    let actions = gossip.take_actions();
+    let tells = |action: &Action| matches!(action, Action::SendReport(_, report) if report.slow == [Notice { id: 5, level: 4 }]);
+    assert!(actions.iter().any(tells), "{actions:?}");
+}
