--- a/crates/peer/src/report.rs
+++ b/crates/peer/src/report.rs
@@ -6,6 +6,7 @@
     skylarkflow_steering::{
         gossip::{Freshness, Heartbeat, PeerInfo, Report},
         position::{Epoch, Position, Revision},
+        speed::Notice,
     },
     std::net::SocketAddr,
 };
@@ -15,7 +16,8 @@
 
 /// A report with its fields by position, which keeps it short: name, zone and address of the sender, version and
 /// revision of its tables, name, start and heartbeat sequence of each reader, the upstreams that ended, the epoch of the
-/// revision, and epoch and revision of the last change of an evacuation. Reports of older versions lack the last two, and
+/// revision, epoch and revision of the last change of an evacuation, and the slow upstreams with the levels of their
+/// slowness. Reports of older versions lack the last three, and
 /// their balancers ignore them.
 #[derive(Deserialize, Serialize)]
 struct ReportWire(
@@ -28,6 +30,7 @@
     Vec<u64>,
     #[serde(default)] Epoch,
     #[serde(default)] Option<(Epoch, Revision)>,
+    #[serde(default)] Vec<(u64, i8)>,
 );
 
 impl From<Report> for ReportWire {
@@ -37,6 +40,7 @@
             freshness,
             readers,
             ended,
+            slow,
         } = report;
         let readers = readers.into_iter();
         ReportWire(
@@ -53,14 +57,27 @@
             freshness
                 .evacuations
                 .map(|position| (position.epoch, position.revision)),
+            slow.into_iter()
+                .map(|notice| (notice.id, notice.level))
+                .collect(),
         )
     }
 }
 
 impl From<ReportWire> for Report {
     fn from(wire: ReportWire) -> Report {
-        let ReportWire(name, zone, address, version, revision, readers, ended, epoch, evacuations) =
-            wire;
+        let ReportWire(
+            name,
+            zone,
+            address,
+            version,
+            revision,
+            readers,
+            ended,
+            epoch,
+            evacuations,
+            slow,
+        ) = wire;
         let heartbeat = |(name, incarnation, sequence): (String, u64, u64)| Heartbeat {
             name,
             incarnation,
@@ -79,6 +96,10 @@
             },
             readers: readers.into_iter().map(heartbeat).collect(),
             ended,
+            slow: slow
+                .into_iter()
+                .map(|(id, level)| Notice { id, level })
+                .collect(),
         }
     }
 }
--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -124,6 +124,10 @@
     5124 EVACUATION_CONFIRMED Info "evacuation" "A restored store has the entry of an evacuated zone.";
     5125 EVACUATION_ENDING Info "evacuation" "An entry that evacuates a zone is marked as being removed; it stays in force until it is gone.";
     5126 EVACUATION_IGNORED Warn "evacuation" "Zones are not evacuated because too many entries request it.";
+    5141 UPSTREAM_SLOW Info "upstream"
+        "An upstream responds clearly slower than the others of its routes and gets fewer new flows.";
+    5142 UPSTREAM_USUAL Info "upstream"
+        "An upstream is no longer known to be slow and gets its usual share of new flows.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -121,6 +121,8 @@
     ZonesEvacuated "steer.zones_evacuated" "zones" "Zones whose upstreams get no new flows, as the store requests it.";
     ZonesUnconfirmed "steer.zones_unconfirmed" "zones"
         "Evacuated zones whose entry a restored store lacks; they stay evacuated.";
+    UpstreamsSlow "steer.slow_upstreams" "upstreams"
+        "Upstreams that respond clearly slower than the others of their routes.";
     StoreEpoch "steer.store_epoch" "epoch"
         "Epoch of the store, which rises when the store is restored from an older copy.";
     StoreRevision "steer.store_revision" "revision"
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -6,7 +6,7 @@
         steer_sources::ObjectKind,
     },
     serde::Deserialize,
-    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch},
+    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch, placement},
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::Path,
@@ -84,6 +84,8 @@
     Counts,
     /// By the remaining work that is learned from responses.
     Learned,
+    /// In addition, each balancer prefers some upstreams of its zone.
+    Subset,
 }
 
 /// Whether new flows are refused when upstreams have no room.
@@ -152,6 +154,19 @@
         }
     }
 
+    /// Returns the settings of the choice of an upstream.
+    pub fn placement(&self) -> placement::Settings {
+        let policy = match self.load.placement {
+            Placement::Counts => placement::Policy::Counts,
+            Placement::Learned => placement::Policy::Learned,
+            Placement::Subset => placement::Policy::Subset,
+        };
+        placement::Settings {
+            policy,
+            ..placement::Settings::default()
+        }
+    }
+
     /// Returns the name, zone and address under which peers know this balancer.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -8,13 +8,14 @@
 //! grow with the zones instead of the balancers.
 
 use {
-    crate::{fetches::Fetches, position::Position, upstream::UpstreamId},
+    crate::{fetches::Fetches, position::Position, speed::Notice, upstream::UpstreamId},
     skylarkflow_policy::id::{Map, Set},
     std::{cmp::Reverse, collections::BTreeMap, mem, net::SocketAddr, time::Duration},
 };
 
 pub use crate::{
     gossip_settings::Settings,
+    rank::Rank,
     report::{Freshness, Heartbeat, Name, PeerInfo, Report, Role},
 };
 
@@ -33,6 +34,8 @@
     },
     /// Probe an upstream that a peer reports to have ended.
     ProbeUpstream(UpstreamId),
+    /// Take into account that a peer of the zone has found upstreams to be slow.
+    RecordSlowUpstreams(Vec<Notice>),
     /// List the store without waiting for the tables of a peer.
     ListStore,
     /// Read the current state of the store: a peer knows newer tables and none supplies them, or this balancer has just
@@ -68,6 +71,7 @@
     members: BTreeMap<Name, Member>,
     heartbeats: BTreeMap<Name, KnownHeartbeat>,
     ended: Map<UpstreamId, Duration>,
+    slow: Vec<Notice>,
     last_report_at: Duration,
     has_news: bool,
     /// Whether balancers that start wait for the next report.
@@ -101,6 +105,7 @@
             members: BTreeMap::new(),
             heartbeats: BTreeMap::new(),
             ended: Map::default(),
+            slow: Vec::new(),
             last_report_at: Duration::ZERO,
             has_news: true,
             has_urgent_news: false,
@@ -185,6 +190,17 @@
             .count()
     }
 
+    /// Returns the rank of this balancer among the known ones of its zone.
+    pub fn zone_rank(&self) -> Rank {
+        let zone = &self.local.zone;
+        let members = self.members.values();
+        let others = members.filter(|member| member.info.zone == *zone).count();
+        Rank {
+            index: self.rank(),
+            count: others + 1,
+        }
+    }
+
     /// Records that the response to a fetch has begun.
     pub fn record_fetch_response(&mut self, address: SocketAddr) {
         self.fetches.record_response(address);
@@ -215,6 +231,11 @@
         self.has_news = true;
     }
 
+    /// Replaces the slow upstreams of which the next reports tell.
+    pub fn set_slow_upstreams(&mut self, slow: Vec<Notice>) {
+        self.slow = slow;
+    }
+
     /// Handles the report of a peer.
     pub fn handle_report(&mut self, now: Duration, report: Report) {
         let Report {
@@ -222,6 +243,7 @@
             mut freshness,
             readers,
             ended,
+            slow,
         } = report;
         if !self.settings.follows_evacuations {
             freshness.evacuations = None;
@@ -236,6 +258,9 @@
             }
         }
         if is_own_zone {
+            if !slow.is_empty() {
+                self.actions.push(Action::RecordSlowUpstreams(slow));
+            }
             for heartbeat in readers {
                 self.record_heartbeat(now, heartbeat);
             }
@@ -493,6 +518,7 @@
             freshness: self.freshness,
             readers: self.live_readers(now),
             ended: self.ended.keys().copied().collect(),
+            slow: self.slow.clone(),
         }
     }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod balancer;
 pub mod cookie;
+pub mod cost;
 pub mod directory;
 mod directory_entry;
 pub mod evacuation;
@@ -23,8 +24,11 @@
 pub mod liveness;
 pub mod placement;
 pub mod position;
+pub mod rank;
 pub mod report;
 pub mod segment;
+pub mod speed;
+pub mod subset;
 pub mod table;
 pub mod tracker;
 pub mod upstream;
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -6,14 +6,53 @@
 //! zones costs money and the other zone may be unreachable.
 
 use {
-    crate::upstream::Upstream,
+    crate::{
+        speed::{self, Speeds},
+        subset::{self, Subset},
+        upstream::Upstream,
+    },
     rand::{Rng, rngs::SmallRng},
     std::{sync::Arc, time::Duration},
 };
 
+/// What the choice of an upstream depends on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// The flows and requests that this balancer has placed.
+    #[default]
+    Counts,
+    /// In addition, how slow upstreams are according to their responses. Without evidence that upstreams differ, the
+    /// choice is that of [`Policy::Counts`].
+    Learned,
+    /// In addition, each balancer prefers some upstreams of its zone, so that its counts are much of their load.
+    Subset,
+}
+
+impl Policy {
+    /// Returns whether the speed of upstreams is learned.
+    pub fn learns_speeds(self) -> bool {
+        matches!(self, Policy::Learned | Policy::Subset)
+    }
+}
+
+/// What a balancer knows of upstreams besides its counts; the default is nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Speeds of upstreams.
+    pub speeds: Speeds,
+    /// Preferred upstreams.
+    pub subset: Subset,
+}
+
 /// Parameters of the placement score.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
+    /// What the choice depends on.
+    pub policy: Policy,
+    /// Speed of upstreams, for [`Policy::Learned`].
+    pub speed: speed::Settings,
+    /// Preferred upstreams, for [`Policy::Subset`].
+    pub subset: subset::Settings,
     /// Weight of an open flow, in requests; long flows have a request in flight a tenth of the time.
     pub flow_weight: f64,
     /// Penalty for an upstream of another zone, in requests per slot.
@@ -28,6 +67,9 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
+            policy: Policy::default(),
+            speed: speed::Settings::default(),
+            subset: subset::Settings::default(),
             flow_weight: 0.1,
             remote_zone_penalty: 0.75,
             warmup_slot_share: 0.6,
@@ -55,14 +97,27 @@
     zone: &str,
     upstreams: &[Arc<Upstream>],
     is_usable: impl Fn(&Upstream) -> bool,
+    knowledge: &Knowledge,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
-    choose_lowest_cost(settings, now, zone, upstreams, &is_usable, rng)
-        .or_else(|| choose_lowest_cost(settings, now, zone, upstreams, &|_| true, rng))
+    let mut choose = |is_usable: &dyn Fn(&Upstream) -> bool, speeds: Option<&Speeds>| {
+        let context = Context {
+            settings,
+            now,
+            zone,
+            speeds: speeds.filter(|speeds| !speeds.is_even()),
+            subset: &knowledge.subset,
+        };
+        choose_lowest_cost(&context, upstreams, is_usable, rng)
+    };
+    choose(&is_usable, Some(&knowledge.speeds))
+        // All usable upstreams may be slow ones that were left out by chance.
+        .or_else(|| choose(&is_usable, None))
+        .or_else(|| choose(&|_| true, None))
 }
 
-/// Returns the load of an upstream after one more request, in requests per slot.
-pub fn score(settings: &Settings, now: Duration, upstream: &Upstream) -> f64 {
+/// Returns the load of an upstream after one more request, in requests per slot of an upstream of usual speed.
+pub fn score(settings: &Settings, now: Duration, upstream: &Upstream, slowness: f64) -> f64 {
     let load = upstream.load_counters.load();
     let slot_share = if now < upstream.warmup_end {
         settings.warmup_slot_share
@@ -70,27 +125,35 @@
         1.0
     };
     let slots = f64::from(upstream.record.slots.max(1)) * slot_share;
-    (f64::from(load.requests) + f64::from(load.flows) * settings.flow_weight + 1.0) / slots
+    let placed = f64::from(load.requests) + f64::from(load.flows) * settings.flow_weight;
+    (placed * slowness + 1.0) / slots
 }
 
-fn choose_lowest_cost(
-    settings: &Settings,
+struct Context<'a> {
+    settings: &'a Settings,
     now: Duration,
-    zone: &str,
+    zone: &'a str,
+    /// Speeds of upstreams, if any is slower than usual.
+    speeds: Option<&'a Speeds>,
+    subset: &'a Subset,
+}
+
+fn choose_lowest_cost(
+    context: &Context,
     upstreams: &[Arc<Upstream>],
-    is_usable: &impl Fn(&Upstream) -> bool,
+    is_usable: &dyn Fn(&Upstream) -> bool,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
     let mut best = Best::default();
-    if upstreams.len() <= settings.max_candidates {
+    if upstreams.len() <= context.settings.max_candidates {
         for upstream in upstreams.iter().filter(|upstream| is_usable(upstream)) {
-            best.consider(settings, now, zone, upstream, rng);
+            best.consider(context, upstream, rng);
         }
     } else {
-        for _ in 0..settings.max_candidates {
+        for _ in 0..context.settings.max_candidates {
             let upstream = &upstreams[rng.random_range(0..upstreams.len())];
             if is_usable(upstream) {
-                best.consider(settings, now, zone, upstream, rng);
+                best.consider(context, upstream, rng);
             }
         }
     }
@@ -108,22 +171,32 @@
 }
 
 impl<'a> Best<'a> {
-    fn consider(
-        &mut self,
-        settings: &Settings,
-        now: Duration,
-        zone: &str,
-        upstream: &'a Arc<Upstream>,
-        rng: &mut SmallRng,
-    ) {
-        let score = score(settings, now, upstream);
-        let is_remote = upstream.record.zone != zone;
-        let cost = score
-            + if is_remote {
-                settings.remote_zone_penalty
-            } else {
-                0.0
-            };
+    fn consider(&mut self, context: &Context, upstream: &'a Arc<Upstream>, rng: &mut SmallRng) {
+        let Context {
+            settings,
+            now,
+            zone,
+            speeds,
+            subset,
+        } = *context;
+        let mut slowness = 1.0;
+        if let Some(slow) = speeds.and_then(|speeds| speeds.slow(upstream.record.id)) {
+            // Other balancers place most of the load. If each of them took the lowest score, all would avoid a slow
+            // upstream, or all would choose it once the others are busy, so each leaves it out by chance.
+            if rng.random::<f64>() >= slow.share {
+                return;
+            }
+            slowness = slow.slowness;
+        }
+        let score = score(settings, now, upstream, slowness);
+        let penalty = if upstream.record.zone != zone {
+            settings.remote_zone_penalty
+        } else if !subset.contains(upstream.record.id) {
+            settings.subset.penalty
+        } else {
+            0.0
+        };
+        let cost = score + penalty;
         match self.lowest {
             Some((lowest, ..)) if cost > lowest => return,
             Some((lowest, ..)) if cost == lowest => {
--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -330,6 +330,7 @@
         freshness: freshness(evacuations),
         readers: Vec::new(),
         ended: Vec::new(),
+        slow: Vec::new(),
     };
     gossip.handle_report(now, report);
     let sent = gossip.take_actions().into_iter();
--- a/crates/steering/tests/support/evacuation_fleet.rs
+++ b/crates/steering/tests/support/evacuation_fleet.rs
@@ -374,7 +374,7 @@
             Action::ReadStore => {
                 self.nodes.get_mut(&from).expect("it exists").store_reads += 1;
             }
-            Action::ProbeUpstream(_) | Action::SetRole(_) => {}
+            Action::ProbeUpstream(_) | Action::RecordSlowUpstreams(_) | Action::SetRole(_) => {}
         }
     }
 
