Limit new flows to pools that have no room

Upstreams refused half of the requests of a burst of 1.17 times the capacity, each after 45 to 150 ms, and retries multiplied the load. A balancer with the setting load.admission: adaptive now limits the openings that it forwards to a pool by the responses that pass through it. Off by default.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -66,6 +66,9 @@
     2103 PACKET_DROPPED Info "steer"
         "A packet was dropped because no table is active or its cookie identifies no known upstream.";
     2104 PACKET_MALFORMED Warn "steer" "A datagram was dropped because it is not a valid packet of a caller.";
+    2111 ADMISSION_LIMITED Warn "steer"
+        "Upstreams of a pool refuse requests or respond late; some of its new flows are reset until they have room.";
+    2112 ADMISSION_RESTORED Info "steer" "All new flows of a pool are admitted again.";
     3001 REQUEST_REFUSED Info "request" "A request was answered with 5.03: it was not run.";
     3002 REQUEST_RETRIED Info "request" "A request is dispatched again after an attempt that did not run it.";
     3003 REQUEST_UNKNOWN Info "request" "A request was answered with 5.04: its outcome is unknown.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -95,6 +95,14 @@
     Placements "steer.placements" "flows" "Opening packets for which an upstream was chosen.";
     Replacements "steer.replacements" "flows" "Retransmitted opening packets for which another upstream was chosen.";
     Resets "steer.resets" "packets" "Resets sent to callers.";
+    OverloadResetsUrgent "steer.overload_resets_0" "packets"
+        "Opening packets of priority 0 that were reset because the pool had no room.";
+    OverloadResetsMiddle "steer.overload_resets_1" "packets"
+        "Opening packets of priority 1 that were reset because the pool had no room.";
+    OverloadResetsOther "steer.overload_resets_2" "packets"
+        "Opening packets of priority 2 or above that were reset because the pool had no room.";
+    UpstreamRefusals "steer.upstream_refusals" "responses"
+        "Responses of upstreams that were refusals, as judged by their size and lateness.";
     UpstreamsDown "steer.upstreams_down" "changes" "Times that an upstream was marked down because it did not answer.";
     Probes "steer.probes" "probes" "Probes of upstreams that may have ended.";
     StoreCalls "store.calls" "calls" "Calls to the store.";
@@ -120,6 +128,10 @@
         "Revision of the store up to which the upstreams are known in its epoch.";
     Peers "steer.peers" "balancers" "Other steering balancers that this one knows.";
     FlowsRecent "steer.flows" "flows" "Flows that recently sent packets through this balancer.";
+    AdmittedShareLast "steer.admitted_share_last" "per mille"
+        "Admitted share of the new flows of the least urgent priority; the lowest of all pools.";
+    AdmittedShareNext "steer.admitted_share_next" "per mille"
+        "Admitted share of the new flows of the second least urgent priority; the lowest of all pools.";
     InFlight "requests.in_flight" "requests" "Requests dispatched and not yet answered.";
 }
 
--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -109,6 +109,7 @@
 fn new_balancer(settings: &Settings, state: &State) -> Balancer {
     let settings = balancer::Settings {
         zone: settings.zone.clone(),
+        admission: settings.admission(),
         ..balancer::Settings::default()
     };
     Balancer::new(settings, state.clock.incarnation())
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -274,6 +274,9 @@
                     .event_log
                     .record(&event::UPSTREAM_RESTORED, format_args!("upstream {id:x}")),
                 Action::HealthChanged(change) => self.record_health_change(now, change),
+                Action::AdmissionChanged { pool, is_limiting } => {
+                    self.record_admission_change(&pool, is_limiting);
+                }
             }
         }
     }
@@ -320,6 +323,36 @@
         }
         let flows = self.balancer.flow_count() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
+        self.record_admission(now);
+    }
+
+    fn record_admission(&mut self, now: Duration) {
+        let summary = self.balancer.take_admission(now);
+        let metrics = &self.state.metrics;
+        metrics.add(Counter::UpstreamRefusals, summary.counts.refusals);
+        let counters = [
+            Counter::OverloadResetsUrgent,
+            Counter::OverloadResetsMiddle,
+            Counter::OverloadResetsOther,
+        ];
+        for (counter, count) in counters.into_iter().zip(summary.counts.resets) {
+            metrics.add(counter, count);
+        }
+        let gauges = [Gauge::AdmittedShareLast, Gauge::AdmittedShareNext];
+        for (gauge, share) in gauges.into_iter().zip(summary.lowest_shares) {
+            metrics.set(gauge, (share * 1_000.0).round() as u64);
+        }
+    }
+
+    fn record_admission_change(&self, pool: &str, is_limiting: bool) {
+        let event = if is_limiting {
+            &event::ADMISSION_LIMITED
+        } else {
+            &event::ADMISSION_RESTORED
+        };
+        self.state
+            .event_log
+            .record(event, format_args!("pool {pool}"));
     }
 
     fn record_health_change(&self, now: Duration, change: Change) {
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::{self, Error, Finding, Log},
     serde::Deserialize,
-    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch},
+    skylarkflow_steering::{admission, directory, gossip::PeerInfo, lifecycle, list_watch},
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::Path,
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Returns the settings of the admission of new flows; `None` admits all.
+    pub fn admission(&self) -> Option<admission::Settings> {
+        match self.load.admission {
+            Admission::None => None,
+            Admission::Adaptive => Some(admission::Settings::default()),
+        }
+    }
+
     /// Returns the settings of the drain of this balancer.
     pub fn lifecycle(&self) -> lifecycle::Settings {
         let grace = Duration::from_secs_f64(self.bounds.grace_seconds);
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -2,14 +2,16 @@
 
 use {
     crate::{
+        admission,
         cookie::Cookie,
         fault_injection::{self, Fault},
         liveness::{self, LivenessTracker, ProbeOutcome},
         placement,
+        pool_admission::{PoolAdmission, Summary},
         segment::{Kind, Segment},
         table::{Route, Table, Target, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
-        upstream::{Upstream, UpstreamId},
+        upstream::{PoolName, Upstream, UpstreamId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     skylarkflow_policy::{
@@ -17,12 +19,16 @@
         health::{self, Change, Monitor, Signal},
         id::Set,
     },
-    std::{mem, sync::Arc, time::Duration},
+    std::{mem, net::IpAddr, sync::Arc, time::Duration},
 };
 
 /// Idle timeout of tracked flows while no configuration is active.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time after a pause of this process in which no opening packet is reset for overload: it may be old, and a
+/// retransmission may have opened its flow.
+const RESUME_GRACE: Duration = Duration::from_millis(250);
+
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -30,6 +36,8 @@
     pub zone: String,
     /// Choice of the upstream for a new flow.
     pub placement: placement::Settings,
+    /// Admission of new flows when capacity is insufficient; `None` admits all.
+    pub admission: Option<admission::Settings>,
     /// Tracking of recent flows.
     pub tracker: tracker::Settings,
     /// Passive health checks, based on whether upstreams answer opening packets.
@@ -49,6 +57,7 @@
         Settings {
             zone: String::new(),
             placement: placement::Settings::default(),
+            admission: None,
             tracker: tracker::Settings::default(),
             health: health::Settings {
                 // An opening packet is rarely retransmitted while its upstream is alive, and a false positive costs
@@ -103,6 +112,8 @@
     RouteRemoved,
     /// No upstream of the route accepts new flows.
     NoUpstream,
+    /// The upstreams of the pool have no room for the flow.
+    Overloaded,
     /// The upstream of the flow has ended.
     UpstreamEnded,
 }
@@ -132,6 +143,13 @@
     UpstreamRestored(UpstreamId),
     /// Report that the health of an upstream has changed, so that it gets no new flows or gets them again.
     HealthChanged(Change),
+    /// Report that admission starts to limit the new flows of a pool, or stops to.
+    AdmissionChanged {
+        /// The pool.
+        pool: PoolName,
+        /// Whether it limits them now.
+        is_limiting: bool,
+    },
 }
 
 /// Why a packet is dropped.
@@ -150,6 +168,7 @@
     tracker: FlowTracker,
     monitor: Monitor,
     liveness: LivenessTracker,
+    admission: PoolAdmission,
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
@@ -167,6 +186,7 @@
             monitor: Monitor::new(settings.health),
             rng: SmallRng::seed_from_u64(seed),
             liveness: LivenessTracker::new(settings.liveness),
+            admission: PoolAdmission::new(settings.admission),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -180,6 +200,11 @@
         self.tracker.drain_samples(take);
     }
 
+    /// Returns the admission of new flows, summed over all pools, and clears its counts.
+    pub fn take_admission(&mut self, now: Duration) -> Summary {
+        self.admission.take_summary(now)
+    }
+
     /// Returns the number of tracked flows, which sent packets recently.
     pub fn flow_count(&self) -> usize {
         self.tracker.len()
@@ -274,6 +299,10 @@
         let idle = table.map_or(DEFAULT_IDLE_TIMEOUT, |table| table.idle_timeout);
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
+        for (pool, is_limiting) in self.admission.tick(now, table) {
+            self.actions
+                .push(Action::AdmissionChanged { pool, is_limiting });
+        }
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -354,8 +383,15 @@
             self.liveness.record_missing_answer(now, upstream.record.id);
             self.collect_actions(Some(table));
         }
-        let Some(choice) = self.choose_upstream(now, table, route) else {
-            return Verdict::Reset(ResetReason::NoUpstream);
+        // The flow may be open already if this packet is not the first one: a retransmission, a duplicate, or an old
+        // packet that was read after a pause.
+        let may_be_open = retransmission > 0
+            || self.tracker.first_packet_at(&key).is_some()
+            || self.tracker.is_full()
+            || now < self.resumed_at + RESUME_GRACE;
+        let choice = match self.choose_upstream(now, table, route, key.caller.ip(), may_be_open) {
+            Ok(choice) => choice,
+            Err(reason) => return Verdict::Reset(reason),
         };
         self.tracker
             .record_opening(now, key, retransmission, &choice.upstream);
@@ -367,11 +403,23 @@
         now: Duration,
         table: &Table,
         route: &Route,
-    ) -> Option<placement::Choice> {
-        let target = draw_target(&route.targets, &mut self.rng)?;
-        let upstreams = table.pools.get(&target.pool)?;
+        caller: IpAddr,
+        may_be_open: bool,
+    ) -> Result<placement::Choice, ResetReason> {
+        let target = draw_target(&route.targets, &mut self.rng).ok_or(ResetReason::NoUpstream)?;
+        let upstreams = table.pools.get(&target.pool);
+        let upstreams = upstreams.ok_or(ResetReason::NoUpstream)?;
+        let is_admitted = may_be_open || upstreams.is_empty() || {
+            let priority = route.level.priority;
+            let rng = &mut self.rng;
+            self.admission
+                .admit(now, &target.pool, priority, caller, rng)
+        };
+        if !is_admitted {
+            return Err(ResetReason::Overloaded);
+        }
         let (monitor, liveness) = (&self.monitor, &self.liveness);
-        placement::choose(
+        let choice = placement::choose(
             &self.settings.placement,
             now,
             &self.settings.zone,
@@ -381,7 +429,8 @@
                 !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id)
             },
             &mut self.rng,
-        )
+        );
+        choice.ok_or(ResetReason::NoUpstream)
     }
 
     fn handle_established(
@@ -411,10 +460,20 @@
             has_data: segment.length > 0,
             is_last,
         };
-        match self.tracker.record_packet(now, &packet, upstream) {
-            Evidence::Answered(_) => {
+        let evidence = self.tracker.record_packet(now, &packet, upstream);
+        // The first request of a flow was counted with its opening packet.
+        let is_counted = evidence == Evidence::Answered(None) || self.settings.admission.is_none();
+        if !is_counted && self.tracker.request_sent_at(&segment.flow) == Some(now) {
+            self.admission.record_continued(now, &upstream.record.pool);
+        }
+        match evidence {
+            Evidence::Answered(response) => {
                 self.record_signal(now, upstream, Signal::Answered);
                 self.liveness.record_answer(now, id);
+                if let Some(response) = response {
+                    let pool = &upstream.record.pool;
+                    self.admission.observe(now, table, pool, &response);
+                }
             }
             Evidence::Retransmitted => {
                 self.liveness.record_missing_answer(now, id);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -8,6 +8,7 @@
 //! Start at [`balancer::Balancer`], which decides about each packet by means of a [`table::Table`]. [`directory`] and
 //! [`list_watch`] keep the table up to date; [`gossip`] exchanges table versions between balancers.
 
+pub mod admission;
 pub mod balancer;
 pub mod cookie;
 pub mod directory;
@@ -19,7 +20,9 @@
 pub mod list_watch;
 pub mod liveness;
 pub mod placement;
+pub mod pool_admission;
 pub mod position;
+pub mod refusal;
 pub mod report;
 pub mod segment;
 pub mod table;
--- a/crates/steering/src/tracker.rs
+++ b/crates/steering/src/tracker.rs
@@ -132,6 +132,11 @@
         self.flows.is_empty()
     }
 
+    /// Returns whether further flows are not tracked.
+    pub fn is_full(&self) -> bool {
+        self.flows.len() >= self.settings.max_flows
+    }
+
     /// Returns the upstream of a flow that is being opened and the number of the last retransmission of its opening
     /// packet.
     pub fn opening_flow(&self, key: &Key) -> Option<(&Arc<Upstream>, u32)> {
@@ -142,6 +147,12 @@
         }
     }
 
+    /// Returns the time at which the request in flight on a flow was sent; `None` if there is none.
+    pub fn request_sent_at(&self, key: &Key) -> Option<Duration> {
+        let request = self.flows.get(key)?.request?;
+        Some(request.sent_at)
+    }
+
     /// Returns the time of the first packet of a flow; `None` if the flow is not tracked.
     pub fn first_packet_at(&self, key: &Key) -> Option<Duration> {
         self.flows.get(key).map(|flow| flow.first_packet_at)
