Give admission a limit that counts requests on open flows

Requests on open flows are never reset, so in long bursts they filled the pool and urgent openings were refused. The limit now holds for all requests; openings get what open flows leave, but the most urgent priority at least what upstreams are known to process. The limit stays within 0.9 and 1.25 times that rate.

--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -43,9 +43,13 @@
     pub response_time: Duration,
     /// Time over which the rate of openings and requests is measured.
     pub rate_window: Duration,
+    /// Time over which the rate of processed requests is measured; longer, so that its noise does not raise the limit.
+    pub processed_window: Duration,
     /// Minimum of the limit, relative to the rate of requests that upstreams have processed, and the part of that rate
     /// up to which the most urgent priority is admitted.
     pub min_processed: f64,
+    /// Maximum of the limit, relative to that rate.
+    pub max_processed: f64,
     /// Time without a refusal or late response after which nothing is limited.
     pub hold: Duration,
     /// Number of responses without a refusal or late one after which the limit rises faster.
@@ -70,15 +74,17 @@
             refusal_threshold: 0.05,
             late_threshold: 0.2,
             late_weight: 0.1,
-            min_evidence: 3.0,
+            min_evidence: 5.0,
             memory_responses: 128.0,
             memory: Duration::from_secs(1),
             response_time: Duration::from_millis(300),
             rate_window: Duration::from_millis(200),
+            processed_window: Duration::from_secs(1),
             min_processed: 0.9,
+            max_processed: 1.25,
             hold: Duration::from_secs(1),
             clean_responses: 75,
-            clean_growth: 1.0,
+            clean_growth: 0.3,
             floor: 0.05,
             floor_budget: 0.05,
             return_window: Duration::from_secs(3),
@@ -120,15 +126,15 @@
     responses: Responses,
     /// Requests per second that are forwarded, on open flows and new ones; `None` while nothing is limited.
     limit: Option<f64>,
-    /// Time up to which the limit has grown for the lack of evidence.
-    grown_until: Duration,
+    /// Time up to which the limit has been raised for the lack of evidence.
+    raised_until: Duration,
     last_evidence: Option<Duration>,
     /// Responses since the last refusal or late one.
     clean_responses: u32,
-    /// Requests on open flows.
-    continued: Rate,
     /// Requests that were processed.
     processed: Rate,
+    /// The same over the shorter window.
+    processed_last: Rate,
     /// Priorities that were seen, the most urgent one first.
     priorities: Vec<Priority>,
     callers: Callers,
@@ -172,6 +178,8 @@
     offered: Rate,
     /// Part of `offered` that came from callers that had been reset.
     returning: Rate,
+    /// Requests on open flows.
+    continued: Rate,
 }
 
 /// Rate of events, weighted exponentially by age.
@@ -195,11 +203,11 @@
             settings,
             responses: Responses::default(),
             limit: None,
-            grown_until: Duration::ZERO,
+            raised_until: Duration::ZERO,
             last_evidence: None,
             clean_responses: 0,
-            continued: Rate::default(),
             processed: Rate::default(),
+            processed_last: Rate::default(),
             priorities: Vec::new(),
             callers: Callers::default(),
             counts: Counts::default(),
@@ -241,7 +249,7 @@
             self.limit = None;
         }
         self.callers.expire(now, &settings);
-        self.grow(now);
+        self.advance(now);
     }
 
     /// Records a response.
@@ -257,12 +265,12 @@
             self.counts.refusals += u64::from(outcome == Outcome::Refused);
         }
         if outcome != Outcome::Refused {
-            self.processed.record(now, settings.rate_window);
+            self.processed.record(now, settings.processed_window);
+            self.processed_last.record(now, settings.rate_window);
         }
         let offered = self.offered(now);
         if self.limit.is_none() && self.responses.show_overload(&settings) {
             self.limit = Some(offered);
-            self.grown_until = now;
         }
         if let Some(limit) = &mut self.limit {
             let change = match outcome {
@@ -276,8 +284,9 @@
     }
 
     /// Records a request on an open flow, which is forwarded in any case.
-    pub fn record_continued(&mut self, now: Duration) {
-        self.continued.record(now, self.settings.rate_window);
+    pub fn record_continued(&mut self, now: Duration, priority: u32) {
+        let window = self.settings.rate_window;
+        self.priority(priority).continued.record(now, window);
     }
 
     /// Decides about an opening packet; `false` if the flow is to be reset.
@@ -319,16 +328,22 @@
         };
         let window = self.settings.rate_window;
         let rate = |priority: &Priority| priority.offered.per_second(now, window);
-        let room = (limit - self.continued.per_second(now, window)).max(0.0);
+        let continued = |priority: &Priority| priority.continued.per_second(now, window);
+        let all_continued: f64 = self.priorities.iter().map(continued).sum();
+        let room = (limit - all_continued).max(0.0);
         let less_urgent: f64 = self.priorities.iter().skip(1).map(rate).sum();
         let floor = if less_urgent > 0.0 {
-            let budget = self.settings.floor_budget * limit / less_urgent;
-            self.settings.floor.min(budget)
+            // A priority that has open flows is not starved, and each opening leads to several requests on its flow.
+            let served: f64 = self.priorities.iter().skip(1).map(continued).sum();
+            let budget = (self.settings.floor_budget * limit - served).max(0.0);
+            self.settings.floor.min(budget / less_urgent)
         } else {
             0.0
         };
         // Requests on open flows of less urgent priorities do not keep out the most urgent one.
-        let mut rest = (room - floor * less_urgent).max(self.guaranteed(now));
+        let first = self.priorities.first().map_or(0.0, continued);
+        let room = room - floor * less_urgent;
+        let mut rest = room.max(self.guaranteed(now) - first);
         for (index, priority) in self.priorities.iter().enumerate() {
             let floor = if index == 0 { 0.0 } else { floor };
             let wanted = rate(priority) * (1.0 - floor);
@@ -340,11 +355,7 @@
                 };
                 return floor + share * (1.0 - floor);
             }
-            rest = if index == 0 {
-                (room - floor * less_urgent).max(0.0) - wanted
-            } else {
-                rest - wanted
-            };
+            rest = if index == 0 { room } else { rest } - wanted;
         }
         1.0
     }
@@ -375,38 +386,49 @@
     }
 
     /// Raises the limit for the time without evidence of overload.
-    fn grow(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.grown_until).as_secs_f64();
-        self.grown_until = self.grown_until.max(now);
-        if self.clean_responses < self.settings.clean_responses {
-            return;
-        }
+    fn advance(&mut self, now: Duration) {
+        let settings = self.settings;
+        let elapsed = now.saturating_sub(self.raised_until).as_secs_f64();
+        self.raised_until = self.raised_until.max(now);
         let offered = self.offered(now);
-        if let Some(limit) = &mut self.limit {
-            *limit += limit.max(0.2 * offered) * self.settings.clean_growth * elapsed;
+        let Some(limit) = &mut self.limit else {
+            return;
+        };
+        if self.clean_responses >= settings.clean_responses {
+            *limit += limit.max(0.2 * offered) * settings.clean_growth * elapsed;
         }
         self.clamp(now, offered);
     }
 
     /// Keeps the limit within a range from which it takes effect or can be lifted quickly.
     fn clamp(&mut self, now: Duration, offered: f64) {
-        let processed = self.guaranteed(now);
+        let least = self.guaranteed(now).max(MIN_LIMIT);
+        let most = self.settings.max_processed * self.processed_recently(now);
         if let Some(limit) = &mut self.limit {
-            *limit = limit.min(1.5 * offered).max(processed).max(MIN_LIMIT);
+            *limit = limit.min(1.5 * offered).min(most).max(least);
         }
     }
 
     /// Returns the rate of requests that upstreams are known to process.
     fn guaranteed(&self, now: Duration) -> f64 {
         let settings = &self.settings;
-        settings.min_processed * self.processed.per_second(now, settings.rate_window)
+        settings.min_processed * self.processed.per_second(now, settings.processed_window)
+    }
+
+    /// Returns the rate of requests that upstreams have processed, or that of the last moments if it is higher.
+    fn processed_recently(&self, now: Duration) -> f64 {
+        let settings = &self.settings;
+        let recent = self.processed_last.per_second(now, settings.rate_window);
+        self.processed
+            .per_second(now, settings.processed_window)
+            .max(recent)
     }
 
     /// Returns the rate of requests that callers send or ask for.
     fn offered(&self, now: Duration) -> f64 {
         let window = self.settings.rate_window;
-        let rates = self.priorities.iter().map(|priority| &priority.offered);
-        let rates = rates.chain([&self.continued]);
+        let rates = self.priorities.iter();
+        let rates = rates.flat_map(|priority| [&priority.offered, &priority.continued]);
         rates.map(|rate| rate.per_second(now, window)).sum()
     }
 
@@ -419,6 +441,7 @@
                 number,
                 offered: Rate::default(),
                 returning: Rate::default(),
+                continued: Rate::default(),
             };
             self.priorities.insert(index, entry);
             index
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -464,7 +464,9 @@
         // The first request of a flow was counted with its opening packet.
         let is_counted = evidence == Evidence::Answered(None) || self.settings.admission.is_none();
         if !is_counted && self.tracker.request_sent_at(&segment.flow) == Some(now) {
-            self.admission.record_continued(now, &upstream.record.pool);
+            let service = &segment.flow.service;
+            let pool = &upstream.record.pool;
+            self.admission.record_continued(now, table, pool, service);
         }
         match evidence {
             Evidence::Answered(response) => {
--- a/crates/steering/src/pool_admission.rs
+++ b/crates/steering/src/pool_admission.rs
@@ -12,7 +12,10 @@
     },
     rand::rngs::SmallRng,
     skylarkflow_policy::id::Map,
-    std::{net::IpAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// The controllers of all pools.
@@ -74,9 +77,17 @@
     }
 
     /// Records a request on an open flow to an upstream of `pool`.
-    pub fn record_continued(&mut self, now: Duration, pool: &PoolName) {
-        if let Some(controller) = self.controllers.get_mut(pool) {
-            controller.record_continued(now);
+    pub fn record_continued(
+        &mut self,
+        now: Duration,
+        table: &Table,
+        pool: &PoolName,
+        service: &SocketAddr,
+    ) {
+        if let Some(controller) = self.controllers.get_mut(pool)
+            && let Some(route) = table.routes.get(service)
+        {
+            controller.record_continued(now, route.level.priority);
         }
     }
 
--- a/crates/steering/tests/overload/main.rs
+++ b/crates/steering/tests/overload/main.rs
@@ -26,10 +26,15 @@
 
 fn print(name: &str, outcome: &Outcome) {
     let [usual, urgent] = outcome.kinds;
+    let by_second: Vec<String> = outcome
+        .arrivals_by_second
+        .iter()
+        .map(|&(arrivals, refused)| format!("{:.3}", refused as f64 / arrivals.max(1) as f64))
+        .collect();
     let resets = outcome.resets().max(1) as f64;
     println!(
         "{name:44} served {:.3} refused {:.3} in time {:.3} urgent {:.3} reset {:.3} urgent {:.4} needless {:.3} \
-         free {:.3} vain {:.3} opened {:.2} starts {} after {:?}",
+         free {:.3} vain {:.3} opened {:.2} starts {} resets {:?} refused {}",
         outcome.served,
         outcome.refused(),
         outcome.in_time(0),
@@ -42,6 +47,7 @@
         outcome.opened as f64 / outcome.attempts as f64,
         outcome.limited,
         &outcome.resets_by_second,
+        by_second.join(" "),
     );
 }
 
--- a/crates/steering/tests/overload/simulation.rs
+++ b/crates/steering/tests/overload/simulation.rs
@@ -152,6 +152,8 @@
     pub free_slots: f64,
     /// Resets by second since the start.
     pub resets_by_second: Vec<u64>,
+    /// Arrivals and refusals at upstreams by second since the start.
+    pub arrivals_by_second: Vec<(u64, u64)>,
     /// Times that a balancer began to limit openings.
     pub limited: u64,
     /// Attempts, and those of them that opened a flow.
@@ -522,6 +524,10 @@
     fn arrive(&mut self, flow: usize) {
         let request = self.flows[flow].request;
         self.record(request, |figures| figures.arrivals += 1);
+        let second = self.now.as_secs() as usize;
+        let by_second = &mut self.outcome.arrivals_by_second;
+        by_second.resize(by_second.len().max(second + 1), (0, 0));
+        by_second[second].0 += 1;
         let server = &mut self.servers[self.flows[flow].upstream];
         if server.busy < SLOTS {
             self.start(flow);
@@ -529,6 +535,7 @@
             server.queue.push_back(flow);
         } else {
             self.record(request, |figures| figures.refused += 1);
+            self.outcome.arrivals_by_second[second].1 += 1;
             let latency = REFUSAL_DELAY + self.distance(flow) + ms(1);
             self.schedule(latency, Event::Response(flow, true));
         }
