--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -38,7 +38,7 @@
     pub memory_responses: f64,
     /// Time after which responses have lost most of their weight, also if few follow.
     pub memory: Duration,
-    /// Time constant of the limit: three times the time from an opening packet to the first acknowledgement of a
+    /// Time constant of the limit: about twice the time from an opening packet to the first acknowledgement of a
     /// response when queues are full, so that the limit does not oscillate.
     pub response_time: Duration,
     /// Time over which the rate of openings and requests is measured.
@@ -50,6 +50,8 @@
     pub min_processed: f64,
     /// Maximum of the limit, relative to that rate.
     pub max_processed: f64,
+    /// First limit, relative to the rate of requests at that time, so that a few refusals by chance reset nothing.
+    pub first_limit: f64,
     /// Time without a refusal or late response after which nothing is limited.
     pub hold: Duration,
     /// Number of responses without a refusal or late one after which the limit rises faster.
@@ -75,16 +77,17 @@
             late_threshold: 0.2,
             late_weight: 0.1,
             min_evidence: 5.0,
-            memory_responses: 128.0,
+            memory_responses: 256.0,
             memory: Duration::from_secs(1),
-            response_time: Duration::from_millis(300),
+            response_time: Duration::from_millis(200),
             rate_window: Duration::from_millis(200),
             processed_window: Duration::from_secs(1),
             min_processed: 0.9,
             max_processed: 1.25,
+            first_limit: 1.2,
             hold: Duration::from_secs(1),
             clean_responses: 75,
-            clean_growth: 0.3,
+            clean_growth: 1.0,
             floor: 0.05,
             floor_budget: 0.05,
             return_window: Duration::from_secs(3),
@@ -270,7 +273,7 @@
         }
         let offered = self.offered(now);
         if self.limit.is_none() && self.responses.show_overload(&settings) {
-            self.limit = Some(offered);
+            self.limit = Some(settings.first_limit * offered);
         }
         if let Some(limit) = &mut self.limit {
             let change = match outcome {
@@ -343,7 +346,8 @@
         // Requests on open flows of less urgent priorities do not keep out the most urgent one.
         let first = self.priorities.first().map_or(0.0, continued);
         let room = room - floor * less_urgent;
-        let mut rest = room.max(self.guaranteed(now) - first);
+        let known = self.settings.min_processed * self.processed_recently(now);
+        let mut rest = room.max(known - first);
         for (index, priority) in self.priorities.iter().enumerate() {
             let floor = if index == 0 { 0.0 } else { floor };
             let wanted = rate(priority) * (1.0 - floor);
--- a/crates/steering/src/pool_admission.rs
+++ b/crates/steering/src/pool_admission.rs
@@ -99,7 +99,7 @@
         let Some(route) = table.routes.get(&response.service) else {
             return;
         };
-        let is_refusal = self.detector.is_refusal(response.service, response.bytes);
+        let is_refusal = self.detector.is_refusal(response);
         let outcome = Outcome::new(response, &route.level, is_refusal);
         if !self.controllers.contains_key(pool) {
             self.controllers
--- a/crates/steering/tests/overload/simulation.rs
+++ b/crates/steering/tests/overload/simulation.rs
@@ -35,7 +35,6 @@
 const IDLE_FLOW_RETENTION: Duration = Duration::from_millis(500);
 const MAX_REQUESTS_PER_FLOW: u32 = 12;
 
-const REFUSAL_DELAY: Duration = Duration::from_millis(50);
 const TICK: Duration = Duration::from_millis(25);
 const ATTEMPTS: u32 = 3;
 
@@ -120,6 +119,8 @@
     pub course: Course,
     pub retries: bool,
     pub work: Work,
+    /// Time after which an upstream refuses a request, in milliseconds; drawn from the range.
+    pub refusal_ms: (u64, u64),
     pub admission: Option<admission::Settings>,
     pub seed: u64,
 }
@@ -536,7 +537,9 @@
         } else {
             self.record(request, |figures| figures.refused += 1);
             self.outcome.arrivals_by_second[second].1 += 1;
-            let latency = REFUSAL_DELAY + self.distance(flow) + ms(1);
+            let (least, most) = self.scenario.refusal_ms;
+            let wait = ms(self.rng.random_range(least..=most));
+            let latency = wait + self.distance(flow) + ms(1);
             self.schedule(latency, Event::Response(flow, true));
         }
     }
