--- a/crates/skylarkflow/src/steer_daemon.rs
+++ b/crates/skylarkflow/src/steer_daemon.rs
@@ -110,6 +110,7 @@
     let settings = balancer::Settings {
         zone: settings.zone.clone(),
         placement: settings.placement(),
+        admission: settings.admission(),
         ..balancer::Settings::default()
     };
     Balancer::new(settings, state.clock.incarnation())
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -6,7 +6,9 @@
         steer_sources::ObjectKind,
     },
     serde::Deserialize,
-    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch, placement},
+    skylarkflow_steering::{
+        admission, directory, gossip::PeerInfo, lifecycle, list_watch, placement,
+    },
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::Path,
@@ -145,6 +147,14 @@
         }
     }
 
+    /// Returns the settings of the admission of new flows; `None` admits all.
+    pub fn admission(&self) -> Option<admission::Settings> {
+        match self.load.admission {
+            Admission::None => None,
+            Admission::Adaptive => Some(admission::Settings::default()),
+        }
+    }
+
     /// Returns the settings of the drain of this balancer.
     pub fn lifecycle(&self) -> lifecycle::Settings {
         let grace = Duration::from_secs_f64(self.bounds.grace_seconds);
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -2,17 +2,19 @@
 
 use {
     crate::{
+        admission,
         cookie::Cookie,
         fault_injection::{self, Fault},
         gossip::Rank,
         liveness::{self, LivenessTracker, ProbeOutcome},
         placement::{self, Policy},
+        pool_admission::{PoolAdmission, Summary},
         segment::{Kind, Segment},
         speed::{self, Notice, Speeds},
         subset::Subset,
         table::{Route, Table, Target, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
-        upstream::{Upstream, UpstreamId},
+        upstream::{PoolName, Upstream, UpstreamId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     skylarkflow_policy::{
@@ -20,12 +22,16 @@
         health::{self, Change, Monitor, Signal},
         id::Set,
     },
-    std::{mem, sync::Arc, time::Duration},
+    std::{mem, net::IpAddr, sync::Arc, time::Duration},
 };
 
 /// Idle timeout of tracked flows while no configuration is active.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time after a pause of this process in which no opening packet is reset for overload: it may be old, and a
+/// retransmission may have opened its flow.
+const RESUME_GRACE: Duration = Duration::from_millis(250);
+
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -33,6 +39,8 @@
     pub zone: String,
     /// Choice of the upstream for a new flow.
     pub placement: placement::Settings,
+    /// Admission of new flows when capacity is insufficient; `None` admits all.
+    pub admission: Option<admission::Settings>,
     /// Tracking of recent flows.
     pub tracker: tracker::Settings,
     /// Passive health checks, based on whether upstreams answer opening packets.
@@ -52,6 +60,7 @@
         Settings {
             zone: String::new(),
             placement: placement::Settings::default(),
+            admission: None,
             tracker: tracker::Settings::default(),
             health: health::Settings {
                 // An opening packet is rarely retransmitted while its upstream is alive, and a false positive costs
@@ -106,6 +115,8 @@
     RouteRemoved,
     /// No upstream of the route accepts new flows.
     NoUpstream,
+    /// The upstreams of the pool have no room for the flow.
+    Overloaded,
     /// The upstream of the flow has ended.
     UpstreamEnded,
 }
@@ -137,6 +148,13 @@
     SpeedChanged(speed::Change),
     /// Report that the health of an upstream has changed, so that it gets no new flows or gets them again.
     HealthChanged(Change),
+    /// Report that admission starts to limit the new flows of a pool, or stops to.
+    AdmissionChanged {
+        /// The pool.
+        pool: PoolName,
+        /// Whether it limits them now.
+        is_limiting: bool,
+    },
 }
 
 /// Why a packet is dropped.
@@ -163,6 +181,7 @@
     knowledge: placement::Knowledge,
     /// Rank among the balancers of the zone.
     rank: Rank,
+    admission: PoolAdmission,
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
@@ -185,6 +204,7 @@
                 ..placement::Knowledge::default()
             },
             rank: Rank::default(),
+            admission: PoolAdmission::new(settings.admission),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -198,6 +218,11 @@
         self.tracker.drain_samples(take);
     }
 
+    /// Returns the admission of new flows, summed over all pools, and clears its counts.
+    pub fn take_admission(&mut self, now: Duration) -> Summary {
+        self.admission.take_summary(now)
+    }
+
     /// Returns the number of tracked flows, which sent packets recently.
     pub fn flow_count(&self) -> usize {
         self.tracker.len()
@@ -334,6 +359,10 @@
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
         self.knowledge.speeds.tick(now);
+        for (pool, is_limiting) in self.admission.tick(now, table) {
+            self.actions
+                .push(Action::AdmissionChanged { pool, is_limiting });
+        }
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -423,11 +452,18 @@
             self.liveness.record_missing_answer(now, upstream.record.id);
             self.collect_actions(Some(table));
         }
-        let Some(choice) = self.choose_upstream(now, table, route) else {
-            return match duplicate_of {
-                Some(_) => Verdict::Drop(DropReason::DuplicateOpening),
-                None => Verdict::Reset(ResetReason::NoUpstream),
-            };
+        // The flow may be open already if this packet is not the first one: a retransmission, a duplicate, or an old
+        // packet that was read after a pause.
+        let may_be_open = retransmission > 0
+            || self.tracker.first_packet_at(&key).is_some()
+            || self.tracker.is_full()
+            || now < self.resumed_at + RESUME_GRACE;
+        let choice = match self.choose_upstream(now, table, route, key.caller.ip(), may_be_open) {
+            Ok(choice) => choice,
+            Err(_) if duplicate_of.is_some() => {
+                return Verdict::Drop(DropReason::DuplicateOpening);
+            }
+            Err(reason) => return Verdict::Reset(reason),
         };
         let last = duplicate_of.unwrap_or(retransmission);
         self.tracker
@@ -440,11 +476,23 @@
         now: Duration,
         table: &Table,
         route: &Route,
-    ) -> Option<placement::Choice> {
-        let target = draw_target(&route.targets, &mut self.rng)?;
-        let upstreams = table.pools.get(&target.pool)?;
+        caller: IpAddr,
+        may_be_open: bool,
+    ) -> Result<placement::Choice, ResetReason> {
+        let target = draw_target(&route.targets, &mut self.rng).ok_or(ResetReason::NoUpstream)?;
+        let upstreams = table.pools.get(&target.pool);
+        let upstreams = upstreams.ok_or(ResetReason::NoUpstream)?;
+        let is_admitted = may_be_open || upstreams.is_empty() || {
+            let priority = route.level.priority;
+            let rng = &mut self.rng;
+            self.admission
+                .admit(now, &target.pool, priority, caller, rng)
+        };
+        if !is_admitted {
+            return Err(ResetReason::Overloaded);
+        }
         let (monitor, liveness) = (&self.monitor, &self.liveness);
-        placement::choose(
+        let choice = placement::choose(
             &self.settings.placement,
             now,
             &self.settings.zone,
@@ -455,7 +503,8 @@
             },
             &self.knowledge,
             &mut self.rng,
-        )
+        );
+        choice.ok_or(ResetReason::NoUpstream)
     }
 
     fn handle_established(
@@ -485,14 +534,24 @@
             has_data: segment.length > 0,
             is_last,
         };
-        match self.tracker.record_packet(now, &packet, upstream) {
+        let evidence = self.tracker.record_packet(now, &packet, upstream);
+        // The first request of a flow was counted with its opening packet.
+        let is_counted = evidence == Evidence::Answered(None) || self.settings.admission.is_none();
+        if !is_counted && self.tracker.request_sent_at(&segment.flow) == Some(now) {
+            let service = &segment.flow.service;
+            let pool = &upstream.record.pool;
+            self.admission.record_continued(now, table, pool, service);
+        }
+        match evidence {
             Evidence::Answered(response) => {
                 self.record_signal(now, upstream, Signal::Answered);
                 self.liveness.record_answer(now, id);
-                if let Some(response) = response
-                    && self.settings.placement.policy.learns_speeds()
-                {
-                    self.knowledge.speeds.record(now, id, &response);
+                if let Some(response) = response {
+                    let pool = &upstream.record.pool;
+                    self.admission.observe(now, table, pool, &response);
+                    if self.settings.placement.policy.learns_speeds() {
+                        self.knowledge.speeds.record(now, id, &response);
+                    }
                 }
             }
             Evidence::Retransmitted => {
