Write down how admission decides, and bound its limit

The limit of requests per second is bound to 0.8 to 1.25 times what upstreams have processed lately, its rise after an overload reaches the demand when the hold ends, and limiting starts only with evidence beyond chance. Before, balancers began to limit up to twice in a step, and resets occurred at 0.8 times the capacity.

--- a/crates/steering/src/admission.rs
+++ b/crates/steering/src/admission.rs
@@ -32,7 +32,8 @@
     pub late_threshold: f64,
     /// Weight of a late response, relative to a refusal: its request was processed.
     pub late_weight: f64,
-    /// Decayed number of refusals or late responses without which openings are not limited.
+    /// Decayed number of refusals or late responses beyond these shares without which openings are not limited, so that
+    /// a few by chance limit nothing.
     pub min_evidence: f64,
     /// Number of responses after which earlier ones have lost most of their weight.
     pub memory_responses: f64,
@@ -54,10 +55,12 @@
     pub first_limit: f64,
     /// Time without a refusal or late response after which nothing is limited.
     pub hold: Duration,
-    /// Number of responses without a refusal or late one after which the limit rises faster.
+    /// Part of `hold` after which the limit rises towards the rate of requests.
+    pub clean_part: f64,
+    /// Number of responses that must have come since the last refusal or late one as well.
     pub clean_responses: u32,
-    /// Relative rise of the limit per second after `clean_responses`.
-    pub clean_growth: f64,
+    /// Maximum relative rise of the limit per second.
+    pub max_growth: f64,
     /// Minimum admitted share of each priority but the most urgent one.
     pub floor: f64,
     /// Maximum part of the limit that all minimum shares take from more urgent priorities.
@@ -76,18 +79,19 @@
             refusal_threshold: 0.05,
             late_threshold: 0.2,
             late_weight: 0.1,
-            min_evidence: 5.0,
+            min_evidence: 4.0,
             memory_responses: 256.0,
             memory: Duration::from_secs(1),
             response_time: Duration::from_millis(200),
             rate_window: Duration::from_millis(200),
             processed_window: Duration::from_secs(1),
-            min_processed: 0.9,
+            min_processed: 0.8,
             max_processed: 1.25,
             first_limit: 1.2,
-            hold: Duration::from_secs(1),
-            clean_responses: 75,
-            clean_growth: 1.0,
+            hold: Duration::from_millis(1_500),
+            clean_part: 0.5,
+            clean_responses: 20,
+            max_growth: 1.0,
             floor: 0.05,
             floor_budget: 0.05,
             return_window: Duration::from_secs(3),
@@ -398,8 +402,14 @@
         let Some(limit) = &mut self.limit else {
             return;
         };
-        if self.clean_responses >= settings.clean_responses {
-            *limit += limit.max(0.2 * offered) * settings.clean_growth * elapsed;
+        let clean_time = now.saturating_sub(self.last_evidence.unwrap_or_default());
+        let is_clean = clean_time >= settings.hold.mul_f64(settings.clean_part)
+            && self.clean_responses >= settings.clean_responses;
+        if is_clean && *limit < offered {
+            // Everything is admitted at the end of the hold; the limit is to be close to that by then.
+            let remaining = settings.hold.saturating_sub(clean_time).as_secs_f64();
+            let growth = (offered / *limit).ln() / remaining.max(elapsed);
+            *limit *= (growth.min(settings.max_growth) * elapsed).exp();
         }
         self.clamp(now, offered);
     }
@@ -416,7 +426,7 @@
     /// Returns the rate of requests that upstreams are known to process.
     fn guaranteed(&self, now: Duration) -> f64 {
         let settings = &self.settings;
-        settings.min_processed * self.processed.per_second(now, settings.processed_window)
+        settings.min_processed * self.processed_recently(now)
     }
 
     /// Returns the rate of requests that upstreams have processed, or that of the last moments if it is higher.
@@ -471,8 +481,7 @@
     }
 
     fn show_overload(&self, settings: &Settings) -> bool {
-        let is_above =
-            |count: f64, share: f64| count >= settings.min_evidence && count > share * self.all;
+        let is_above = |count: f64, share: f64| count >= settings.min_evidence + share * self.all;
         is_above(self.refused, settings.refusal_threshold)
             || is_above(self.late + self.refused, settings.late_threshold)
     }
--- a/crates/steering/tests/overload/main.rs
+++ b/crates/steering/tests/overload/main.rs
@@ -5,12 +5,14 @@
 //! deployments](../../../../docs/crowded-deployments.md); the [design note](../../../../docs/design/admission.md) says
 //! which are missed. All figures: `cargo test -p skylarkflow-steering --test overload -- --ignored --nocapture`.
 
+mod figures;
 mod simulation;
 #[path = "../support/mod.rs"]
 mod support;
 
 use {
-    simulation::{Course, Outcome, Scenario, Simulation, Work},
+    figures::Outcome,
+    simulation::{Course, Scenario, Simulation, Work},
     skylarkflow_steering::admission,
 };
 
@@ -159,9 +161,9 @@
             },
         ),
         (
-            "clean growth 0.3",
+            "no growth without refusals",
             admission::Settings {
-                clean_growth: 0.3,
+                max_growth: 0.0,
                 ..settings
             },
         ),
@@ -206,15 +208,17 @@
             assert!(outcome.served >= MIN_SERVED, "served {}", outcome.served);
         }
         assert!(outcome.served > today.served, "served {}", outcome.served);
-        assert!(outcome.in_time(URGENT) >= MIN_URGENT || load > 2.0);
+        assert!(outcome.in_time(URGENT) >= MIN_URGENT);
         assert!(outcome.in_time(URGENT) > today.in_time(URGENT));
         for (zone, kinds) in outcome.zones.iter().enumerate() {
             let urgent = kinds[URGENT].in_time as f64 / kinds[URGENT].requests as f64;
             assert!(urgent >= MIN_URGENT || load > 2.0, "zone {zone}: {urgent}");
             assert!(kinds[0].in_time > 0, "zone {zone} is starved");
         }
-        // The goal is missed in the first second, before the balancers know of the overload.
+        // The goal is missed in the first two seconds, before the balancers know of the overload, and at 3 times the
+        // capacity by flows that were opened then.
         println!("refused, goal {MAX_REFUSED}: {:.3}", outcome.refused());
+        assert!(refused_after_onset(&outcome) <= MAX_REFUSED || load > 2.0);
         assert!(outcome.refused() < today.refused() / 4.0);
         check_end(&outcome);
     }
--- a/crates/steering/tests/overload/simulation.rs
+++ b/crates/steering/tests/overload/simulation.rs
@@ -5,14 +5,17 @@
 //! [crowded deployments](../../../../docs/crowded-deployments.md).
 
 use {
-    crate::support::{self, ms},
+    crate::{
+        figures::{Figures, Outcome},
+        support::{self, ms},
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     skylarkflow_policy::flow::Key,
     skylarkflow_steering::{
         admission,
-        balancer::{Balancer, ResetReason, Settings, Verdict},
+        balancer::{Action, Balancer, ResetReason, Settings, Verdict},
         segment::{Kind as PacketKind, Segment},
-        table::{Config, Level, Routes, Table},
+        table::{Level, Routes, Table},
         upstream::Record,
     },
     std::{
@@ -23,7 +26,7 @@
     },
 };
 
-const ZONES: usize = 4;
+pub const ZONES: usize = 4;
 const BALANCERS_PER_ZONE: usize = 15;
 const UPSTREAMS: usize = 120;
 const SLOTS: usize = 2;
@@ -56,25 +59,21 @@
     Kind {
         rate: 12.0 * 1_311.0,
         work_ms: 15.0,
-        target: ms_const(250),
-        deadline: ms_const(1_000),
+        target: Duration::from_millis(250),
+        deadline: Duration::from_millis(1_000),
         priority: 2,
         has_long_flows: true,
     },
     Kind {
         rate: 6.0 * 375.0,
         work_ms: 20.0,
-        target: ms_const(250),
-        deadline: ms_const(1_200),
+        target: Duration::from_millis(250),
+        deadline: Duration::from_millis(1_200),
         priority: 1,
         has_long_flows: false,
     },
 ];
 
-const fn ms_const(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
 /// Distribution of the work of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Work {
@@ -125,70 +124,6 @@
     pub seed: u64,
 }
 
-/// Figures of the requests of one kind that were sent while the course was on.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Figures {
-    pub requests: u64,
-    pub in_time: u64,
-    /// Requests that arrived at upstreams.
-    pub arrivals: u64,
-    pub refused: u64,
-    pub openings: u64,
-    pub resets: u64,
-    /// Resets while a slot of the pool was free.
-    pub needless: u64,
-    /// Attempts that were forwarded and then refused, or served after the target.
-    pub in_vain: u64,
-}
-
-/// Outcome of a simulation.
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    pub kinds: [Figures; 2],
-    /// Share of the requests in time, by zone and kind.
-    pub zones: [[Figures; 2]; ZONES],
-    /// Work of the requests in time, over the work that the slots can do or that was requested, whichever is less.
-    pub served: f64,
-    /// Mean share of free slots at resets.
-    pub free_slots: f64,
-    /// Resets by second since the start.
-    pub resets_by_second: Vec<u64>,
-    /// Arrivals and refusals at upstreams by second since the start.
-    pub arrivals_by_second: Vec<(u64, u64)>,
-    /// Times that a balancer began to limit openings.
-    pub limited: u64,
-    /// Attempts, and those of them that opened a flow.
-    pub attempts: u64,
-    pub opened: u64,
-    /// Mean share of needlessly reset openings, by free slots.
-    free_sum: f64,
-    work_in_time: f64,
-    work_possible: f64,
-}
-
-impl Outcome {
-    /// Returns the share of the arrivals that upstreams refused.
-    pub fn refused(&self) -> f64 {
-        let refused: u64 = self.kinds.iter().map(|kind| kind.refused).sum();
-        let arrivals: u64 = self.kinds.iter().map(|kind| kind.arrivals).sum();
-        refused as f64 / arrivals.max(1) as f64
-    }
-
-    /// Returns the share of the requests of a kind that were served in time.
-    pub fn in_time(&self, kind: usize) -> f64 {
-        self.kinds[kind].in_time as f64 / self.kinds[kind].requests.max(1) as f64
-    }
-
-    /// Returns the share of the openings that were reset.
-    pub fn reset(&self, kind: usize) -> f64 {
-        self.kinds[kind].resets as f64 / self.kinds[kind].openings.max(1) as f64
-    }
-
-    pub fn resets(&self) -> u64 {
-        self.kinds.iter().map(|kind| kind.resets).sum()
-    }
-}
-
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Request(usize),
@@ -260,9 +195,7 @@
         .map(|index| support::record(index as u64 + 1, &zone_name(index)))
         .collect();
     let services: Vec<SocketAddr> = (0..KINDS.len()).map(service).collect();
-    let mut config = Config {
-        ..support::config(1, &services)
-    };
+    let mut config = support::config(1, &services);
     for (route, kind) in config.routes.iter_mut().zip(&KINDS) {
         route.level = Level {
             priority: kind.priority,
@@ -367,15 +300,17 @@
             if is_sweep {
                 balancer.tick(self.now, Some(table));
             }
-            for action in balancer.take_actions() {
-                use skylarkflow_steering::balancer::Action;
-                if let Action::AdmissionChanged {
-                    is_limiting: true, ..
-                } = action
-                {
-                    self.outcome.limited += 1;
-                }
-            }
+            let is_start = |action: &Action| {
+                matches!(
+                    action,
+                    Action::AdmissionChanged {
+                        is_limiting: true,
+                        ..
+                    }
+                )
+            };
+            let actions = balancer.take_actions();
+            self.outcome.limited += actions.iter().filter(|action| is_start(action)).count() as u64;
         }
         if is_sweep {
             let load = self.scenario.course.load(self.now).min(1.0);
@@ -391,7 +326,6 @@
         let load = self.scenario.course.load(self.now) / BURST_LOAD;
         let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
         let gap = -uniform.ln() / (KINDS[kind].rate * load);
-        // The load is looked at again soon if it is low now.
         let gap = Duration::from_secs_f64(gap);
         self.schedule(gap, Event::Request(kind));
         let caller = self.rng.random_range(0..CALLERS);
