Spread the Max-Age of refusals of the CoAP path

Max-Age was already derived from the wait at the upstream, but callers that were refused together got the same one, and those whose deadline could not be met got 1 s whatever the queue. It is now one to two times the wait, spread by the identifier of the job, and requests that are refused from the queue get the time in which the queue drains.

--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -21,6 +21,7 @@
     },
     rand::{SeedableRng, rngs::SmallRng},
     std::{collections::VecDeque, sync::Arc, time::Duration},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Settings of a [`PoolDispatcher`].
@@ -285,7 +286,7 @@
         let left = job.deadline.saturating_sub(now).as_secs_f64();
         let is_late = wait > left * self.settings.max_wait_shares[kind.index()];
         if queue.waiting() >= self.settings.max_queued || is_late || !self.can_serve(job.upstream) {
-            return Err(max_age(wait));
+            return Err(max_age(wait, job.id));
         }
         Ok(())
     }
@@ -375,10 +376,14 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
-        let late = upstream.remove_late(now, is_usable);
-        for id in late {
-            self.jobs.remove(&id);
-            verdicts.push(Verdict::Refuse { id, max_age: 1 });
+        // All of them are refused at once, and the queue drains in about the time that the last of them would have
+        // waited.
+        let waits = upstream.drain_times(now);
+        for id in upstream.remove_late(now, is_usable) {
+            let kind = self.jobs.remove(&id).map(|(_, kind)| kind);
+            let wait = kind.map_or(0.0, |kind| waits[kind.index()]);
+            let max_age = max_age(wait, id);
+            verdicts.push(Verdict::Refuse { id, max_age });
         }
     }
 
@@ -579,6 +584,9 @@
     }
 }
 
-fn max_age(wait: f64) -> u32 {
-    (wait.ceil() as u32).clamp(1, 30)
+/// Returns the Max-Age of a refusal in seconds: one to two times the wait, spread by the identifier of the job, so that
+/// callers that are refused at the same time do not return at the same time.
+fn max_age(wait: f64, id: JobId) -> u32 {
+    let spread = xxh3_64(&id.to_be_bytes()) as f64 / u64::MAX as f64;
+    (wait * (1.0 + spread)).ceil().clamp(1.0, 30.0) as u32
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -63,8 +63,16 @@
         if ahead == 0 && self.limit.allows(now, self.in_flight()) {
             return 0.0;
         }
-        let rate = self.limit.value(now);
-        (ahead as f64 + 1.0) * self.mean_latency.unwrap_or(0.0) / rate
+        self.time_to_process(now, ahead + 1)
+    }
+
+    /// Returns the estimated time until all waiting requests are dispatched, in seconds.
+    pub fn drain_time(&self, now: Duration) -> f64 {
+        self.time_to_process(now, self.waiting())
+    }
+
+    fn time_to_process(&self, now: Duration, requests: usize) -> f64 {
+        requests as f64 * self.mean_latency.unwrap_or(0.0) / self.limit.value(now)
     }
 
     /// Appends a request. Requests of established flows precede those of new flows.
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -133,6 +133,12 @@
             && (now <= self.last_quick_answer + quick_latency || is_overdue)
     }
 
+    /// Returns the estimated time until all waiting requests of a kind are dispatched, in seconds, by
+    /// [`RequestKind::index`].
+    pub fn drain_times(&self, now: Duration) -> [f64; 2] {
+        [RequestKind::Short, RequestKind::Long].map(|kind| self.queue(kind).drain_time(now))
+    }
+
     /// Removes and returns the queued requests that can no longer be answered before their deadline, or all of them if
     /// the upstream is not usable.
     pub fn remove_late(&mut self, now: Duration, is_usable: bool) -> Vec<JobId> {
--- a/crates/policy/tests/load/main.rs
+++ b/crates/policy/tests/load/main.rs
@@ -6,7 +6,7 @@
     datadriven::TestCase,
     model::{Fault, MEASUREMENT_START, PlacementFunction, Setup, mean},
     skylarkflow_policy::{
-        dispatch::{Dispatcher, Job, JobResult},
+        dispatch::{Dispatcher, Job, JobResult, Verdict},
         exchange::Effect,
         health,
         path::{Change, Monitor, Settings},
@@ -315,6 +315,51 @@
     assert!(retry(102, Effect::Idempotent, JobResult::TimedOut));
 }
 
+/// Guards against callers that return all at once, or before there is room: Max-Age is one to two times the wait.
+#[test]
+fn refusals_that_come_together_have_different_max_ages() {
+    let settings = pool::Settings::default();
+    let mut dispatcher = pool::PoolDispatcher::new(settings, &model::resolve(1, 3), 1);
+    let mut verdicts = Vec::new();
+    let job = |id, now| Job {
+        id,
+        flow: id,
+        upstream: model::id(0),
+        class: 0,
+        established: true,
+        arrived: now,
+        deadline: now + Duration::from_secs(10),
+        effect: Effect::Idempotent,
+    };
+    let mut now = Duration::ZERO;
+    for id in 0..20 {
+        dispatcher.submit(now, job(id, now), &mut verdicts);
+        dispatcher.tick(now, &mut verdicts);
+        now += Duration::from_secs(1);
+        dispatcher.finished(now, id, JobResult::Answered, &mut verdicts);
+    }
+    verdicts.clear();
+    // Requests take a second, so many more than the slots cannot be answered within the deadline.
+    for id in 100..200 {
+        dispatcher.submit(now, job(id, now), &mut verdicts);
+    }
+    dispatcher.tick(now + Duration::from_secs(10), &mut verdicts);
+    let max_ages: Vec<u32> = verdicts
+        .iter()
+        .filter_map(|verdict| match verdict {
+            Verdict::Refuse { max_age, .. } => Some(*max_age),
+            Verdict::Dispatch(_) => None,
+        })
+        .collect();
+    println!("{max_ages:?}");
+    assert!(max_ages.len() > 50, "{max_ages:?}");
+    assert!(max_ages.iter().all(|max_age| (1..=30).contains(max_age)));
+    let mut distinct = max_ages.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert!(distinct.len() >= 3, "{distinct:?}");
+}
+
 #[test]
 fn goodput_under_overload() {
     scenarios("goodput");
