Keep a trace of evacuations that are left out

A state with more than 64 evacuations dropped the rest. Once one of the 64 ended, the state was no longer full, counted as complete and ended the dropped evacuations at peers that had room for them. A dropped evacuation now counts as an invalid entry, which shows that the store has it, and a state that may have forgotten others ends nothing by absence.

a_state_that_left_out_an_entry_does_not_end_it_at_others failed before (the zone was not evacuated after the merge) and passes now, as do the other 12 tests of the file.

--- a/crates/steering/src/evacuation.rs
+++ b/crates/steering/src/evacuation.rs
@@ -17,7 +17,7 @@
     std::collections::BTreeMap,
 };
 
-/// Maximum number of evacuated zones that are kept, and of ended evacuations that are remembered.
+/// Maximum number of evacuated zones that are kept, and of ended or ignored evacuations that are remembered.
 pub const MAX_ZONES: usize = 64;
 
 /// Maximum length of the name of a zone, which bounds the state that balancers exchange.
@@ -63,7 +63,8 @@
     pub position: Position,
     /// The status.
     pub status: Status,
-    /// Position of the latest invalid entry. It has no effect on the status, but shows that the store has an entry.
+    /// Position of the latest entry that is invalid or left out because there are too many. It has no effect on the
+    /// status, but shows that the store has an entry.
     pub invalid_at: Option<Position>,
 }
 
@@ -313,10 +314,12 @@
         self.entries.insert(zone.clone(), newer);
     }
 
+    /// Returns whether entries may have been dropped, so that a missing one shows nothing.
     fn is_full(&self) -> bool {
         let entries = self.entries.values();
         let in_force = entries.filter(|entry| entry.status == Status::InForce);
-        in_force.count() >= MAX_ZONES
+        let in_force = in_force.count();
+        in_force >= MAX_ZONES || self.entries.len() - in_force >= MAX_ZONES
     }
 
     /// Keeps the evacuations whose entries are the oldest and the latest of the others; returns the names of evacuations
@@ -332,9 +335,18 @@
             names.into_iter().map(|(_, zone)| zone)
         };
         let left_out: Vec<ZoneName> = names(&self.entries, true).skip(MAX_ZONES).collect();
+        for zone in &left_out {
+            // A peer may have room for the entry; without a trace, this state would end it there.
+            if let Some(entry) = self.entries.get_mut(zone) {
+                *entry = Entry {
+                    invalid_at: Some(entry.latest_position()),
+                    ..Entry::default()
+                };
+            }
+        }
         let others = names(&self.entries, false);
         let forgotten: Vec<ZoneName> = others.rev().skip(MAX_ZONES).collect();
-        for zone in left_out.iter().chain(&forgotten) {
+        for zone in &forgotten {
             self.entries.remove(zone);
         }
         left_out
--- a/crates/steering/tests/evacuation.rs
+++ b/crates/steering/tests/evacuation.rs
@@ -179,6 +179,22 @@
     assert_eq!(received.zones(), Zones::new());
 }
 
+/// Guards against a balancer that had no room for an entry, then knows fewer evacuations and ends that of the entry at others.
+#[test]
+fn a_state_that_left_out_an_entry_does_not_end_it_at_others() {
+    let entries: Vec<Observation> = (0..=MAX_ZONES)
+        .map(|index| evacuated(&format!("x{index:04}"), 100 + index as u64))
+        .collect();
+    let mut full = listed(at(1_000), &entries);
+    full.apply_changes(at(1_010), &[observation("x0000", 100, Content::Removed)]);
+    let mut started = listed(at(1_005), &entries[1..]);
+    started.merge(&full);
+    let last = format!("x{MAX_ZONES:04}");
+    assert!(started.zones().contains_key(&last));
+    full.merge(&started);
+    assert!(full.zones().contains_key(&last));
+}
+
 #[test]
 fn operators_are_told_of_each_difference() {
     let zones = |zones: &[(&str, bool)]| -> Zones {
