Fetch tables first from peers with newer evacuations

A balancer fetched from the peer of its zone with the newest upstreams. Such a peer may be ahead with upstreams all the time without knowing an evacuation that another zone knows, so the evacuation could be late without bound. Peers with newer evacuations are now asked before others.

tables_are_fetched_from_a_peer_that_knows_newer_evacuations failed before (fetched from the peer of the zone) and passes now, as do the other 14 tests of the file.

--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -474,8 +474,8 @@
 
     /// Returns the peer from which to fetch next.
     ///
-    /// A peer that has failed comes after the others, since it may be frozen. Peers of the own zone come first, since
-    /// traffic between zones costs money. Of several, the one with the newest tables that was heard last is the least
+    /// A peer that has failed comes after the others, since it may be frozen. Peers with newer evacuations come first:
+    /// others may be ahead with upstreams all the time. Then come those of the own zone, as other traffic costs money. Of several, the one with the newest tables that was heard last is the least
     /// likely to have ended.
     fn next_source(&self, now: Duration) -> Option<&Member> {
         let is_usable = |member: &&Member| self.fetches.is_available(now, member.info.address);
@@ -484,6 +484,7 @@
             .max_by_key(|member| {
                 (
                     Reverse(self.fetches.failed_at(member.info.address)),
+                    member.freshness.evacuations > self.freshness.evacuations,
                     member.info.zone == self.local.zone,
                     member.freshness,
                     member.last_heard,
--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -69,6 +69,45 @@
     assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
 }
 
+/// Guards against peers of the own zone that are ahead with upstreams all the time, but do not know the evacuation.
+#[test]
+fn tables_are_fetched_from_a_peer_that_knows_newer_evacuations() {
+    let settings = Settings {
+        follows_evacuations: true,
+        ..Settings::default()
+    };
+    let mut gossip = Gossip::new(settings, peer_info(0, 2), 1);
+    let state = |revision, evacuations| Freshness {
+        version: 1,
+        position: at(revision),
+        evacuations: Some(at(evacuations)),
+    };
+    gossip.set_freshness(state(10, 5));
+    let near = peer_info(2, 2);
+    let far = peer_info(1, 2);
+    for (from, freshness) in [(near, state(30, 5)), (far.clone(), state(20, 18))] {
+        let report = Report {
+            from,
+            freshness,
+            readers: Vec::new(),
+            ended: Vec::new(),
+            slow: Vec::new(),
+        };
+        gossip.handle_report(ms(10), report);
+    }
+    gossip.tick(ms(20));
+    gossip.tick(ms(1_000));
+    let fetched: Vec<_> = gossip
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::FetchTables { address, .. } => Some(address),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(fetched, [far.address]);
+}
+
 /// Guards against watches of a lagging copy that end an evacuation, or hide it from balancers which the current store has
 /// told through their peers.
 #[test]
