Watch evacuations where earlier versions read the store

During an upgrade the reader and the watchers of a zone can be balancers that do not follow evacuations. The others are followers, which watch nothing, so an evacuation never reached them.

--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -56,6 +56,8 @@
     pub registered_peers: UnboundedReceiver<Vec<PeerInfo>>,
     /// How this balancer learns of changes in the store.
     pub role: watch::Sender<Role>,
+    /// How it learns of evacuations: a follower watches them itself if balancers of its zone do not know them.
+    pub evacuation_role: watch::Sender<Role>,
     /// Whether a peer can provide or has provided its tables at the start.
     pub peer_tables: watch::Sender<PeerTables>,
     /// Whether a peer can provide or has provided the evacuations at the start.
@@ -197,6 +199,9 @@
                 Action::ListStore => channels.list_store(),
                 Action::ReadStore => channels.read_store(&state),
                 Action::SetRole(role) => channels.set_role(&state, role),
+                Action::SetEvacuationRole(role) => {
+                    channels.evacuation_role.send_replace(role);
+                }
             }
         }
         state.metrics.set(Gauge::Peers, gossip.len() as u64);
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -56,6 +56,7 @@
     sources: Arc<TableSources>,
     settings: Settings,
     role: watch::Receiver<Role>,
+    evacuation_role: watch::Receiver<Role>,
     peer_tables: watch::Receiver<PeerTables>,
     peer_evacuations: watch::Receiver<PeerTables>,
     store_reads: watch::Receiver<u64>,
@@ -80,6 +81,7 @@
         let sources = TableSources::new(Arc::clone(state), directory, follows_evacuations);
         let sources = Arc::new(sources);
         let (role_sender, role) = watch::channel(Role::default());
+        let (evacuation_role_sender, evacuation_role) = watch::channel(Role::default());
         let router = steer_http::router(Server {
             sources: Arc::clone(&sources),
             local: settings.peer_info(),
@@ -97,6 +99,7 @@
             sources: Arc::clone(&sources),
             settings,
             role,
+            evacuation_role,
             peer_tables,
             peer_evacuations,
             store_reads,
@@ -129,6 +132,7 @@
             ended_upstreams: forwarder.ended_upstreams,
             registered_peers: registered_peers_receiver,
             role: role_sender,
+            evacuation_role: evacuation_role_sender,
             peer_tables: peer_tables_sender,
             peer_evacuations: peer_evacuations_sender,
             store_reads: store_reads_sender,
@@ -196,13 +200,17 @@
             kinds.push((ObjectKind::Evacuations, peer_evacuations.clone()));
         }
         for (seed, (kind, peer_tables)) in (0..).zip(kinds) {
+            let role = match kind {
+                ObjectKind::Config | ObjectKind::Upstreams => &self.role,
+                ObjectKind::Evacuations => &self.evacuation_role,
+            };
             let seed = state.clock.incarnation() ^ seed;
             let sync = ObjectSync::new(steer_control::Inputs {
                 sources: Arc::clone(&self.sources),
                 store: store.clone(),
                 kind,
                 list_watch: ListWatch::new(self.settings.list_watch(kind), seed),
-                role: self.role.clone(),
+                role: role.clone(),
                 peer_tables,
                 store_reads: self.store_reads.clone(),
             });
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -8,7 +8,10 @@
 //! grow with the zones instead of the balancers.
 
 use {
-    crate::{fetches::Fetches, position::Position, speed::Notice, upstream::UpstreamId},
+    crate::{
+        evacuation_watch::EvacuationWatch, fetches::Fetches, position::Position, speed::Notice,
+        upstream::UpstreamId,
+    },
     skylarkflow_policy::id::{Map, Set},
     std::{cmp::Reverse, collections::BTreeMap, mem, net::SocketAddr, time::Duration},
 };
@@ -43,6 +46,8 @@
     ReadStore,
     /// Take on a role.
     SetRole(Role),
+    /// Take on a role with regard to evacuations.
+    SetEvacuationRole(Role),
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +73,7 @@
     sequence: u64,
     freshness: Freshness,
     role: Role,
+    evacuation_watch: EvacuationWatch,
     members: BTreeMap<Name, Member>,
     heartbeats: BTreeMap<Name, KnownHeartbeat>,
     ended: Map<UpstreamId, Duration>,
@@ -102,6 +108,7 @@
             sequence: 0,
             freshness: Freshness::default(),
             role: Role::default(),
+            evacuation_watch: EvacuationWatch::default(),
             members: BTreeMap::new(),
             heartbeats: BTreeMap::new(),
             ended: Map::default(),
@@ -378,6 +385,18 @@
             self.role = role;
             self.actions.push(Action::SetRole(role));
         }
+        let has_lacking_peer = self.settings.follows_evacuations && self.has_lacking_peer(now);
+        let patience = self.settings.follower_patience;
+        let evacuation_watch = &mut self.evacuation_watch;
+        let changed = evacuation_watch.update(now, patience, role, has_lacking_peer);
+        self.actions.extend(changed.map(Action::SetEvacuationRole));
+    }
+
+    /// Returns whether a peer of the zone was heard recently that does not know the evacuations.
+    fn has_lacking_peer(&self, now: Duration) -> bool {
+        self.recent_members(now).any(|member| {
+            member.info.zone == self.local.zone && member.freshness.evacuations.is_none()
+        })
     }
 
     fn may_remain_reader(&self, now: Duration) -> bool {
@@ -460,16 +479,18 @@
         self.settings.follows_evacuations && self.freshness.evacuations.is_none()
     }
 
+    fn recent_members(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        let timeout = self.settings.heartbeat_timeout;
+        let is_recent =
+            move |member: &&Member| member.last_heard.is_some_and(|at| now < at + timeout);
+        self.members.values().filter(is_recent)
+    }
+
     /// Returns the peers with newer tables that were heard recently.
     fn members_ahead(&self, now: Duration) -> impl Iterator<Item = &Member> {
-        let heartbeat_timeout = self.settings.heartbeat_timeout;
         let own = self.freshness;
-        self.members.values().filter(move |member| {
-            let last_heard = member.last_heard;
-            let is_recent =
-                last_heard.is_some_and(|last_heard| now < last_heard + heartbeat_timeout);
-            is_recent && member.freshness.is_ahead_of(&own)
-        })
+        self.recent_members(now)
+            .filter(move |member| member.freshness.is_ahead_of(&own))
     }
 
     /// Returns the peer from which to fetch next.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 mod directory_entry;
 pub mod evacuation;
+pub mod evacuation_watch;
 pub mod fault_injection;
 pub mod fetches;
 pub mod gossip;
--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -69,6 +69,21 @@
     assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
 }
 
+/// Guards against followers that rely on readers and watchers of an earlier version, which do not read evacuations.
+#[test]
+fn balancers_whose_zone_is_read_by_earlier_versions_follow_evacuations() {
+    for (count, zone_count, older) in [(8, 1, 5), (60, 4, 30), (60, 4, 58), (300, 5, 150)] {
+        let mut fleet = Fleet::start(count, zone_count, Store::default(), false);
+        fleet.run(ms(12_000));
+        fleet.follows_evacuations = true;
+        (older..count).for_each(|index| fleet.restart(index));
+        fleet.run(ms(12_000));
+        fleet.store.evacuate(ZONE);
+        fleet.run(BOUND);
+        assert_eq!(fleet.count_placing_in(ZONE), older, "{count} balancers");
+    }
+}
+
 /// Guards against a balancer that waits longer than the bound for its first watch after the tables of a peer, while all
 /// peers end.
 #[test]
--- a/crates/steering/tests/support/evacuation_fleet.rs
+++ b/crates/steering/tests/support/evacuation_fleet.rs
@@ -44,6 +44,7 @@
     upstream_tables: PeerTables,
     evacuation_tables: PeerTables,
     store_reads: u64,
+    evacuation_role: Role,
     pub syncs: Vec<Sync>,
     pub is_up: bool,
     /// Balancers of different sides cannot reach each other.
@@ -60,7 +61,8 @@
     pub store: Store,
     pub nodes: BTreeMap<SocketAddr, Node>,
     zones: usize,
-    follows_evacuations: bool,
+    /// Whether balancers that start follow evacuations; those of earlier versions do not.
+    pub follows_evacuations: bool,
     /// Writes of upstreams in each step.
     pub other_writes: u64,
 }
@@ -100,6 +102,7 @@
             upstream_tables: PeerTables::Pending,
             evacuation_tables: PeerTables::Pending,
             store_reads: 0,
+            evacuation_role: Role::default(),
             syncs: kinds.into_iter().map(Sync::new).collect(),
             is_up: true,
             side: 0,
@@ -115,6 +118,10 @@
         self.syncs.iter().map(|sync| sync.calls).sum()
     }
 
+    pub fn follows_evacuations(&self) -> bool {
+        self.syncs.iter().any(|sync| sync.kind == Kind::Evacuations)
+    }
+
     fn freshness(&self) -> Freshness {
         Freshness {
             version: 1,
@@ -154,7 +161,11 @@
             list_watch.advance(known.unwrap_or_default());
         }
         list_watch.observe_epoch(now, self.epoch);
-        list_watch.set_role(now, self.gossip.role());
+        let role = match sync.kind {
+            Kind::Config | Kind::Upstreams => self.gossip.role(),
+            Kind::Evacuations => self.evacuation_role,
+        };
+        list_watch.set_role(now, role);
         if sync.handled_reads != self.store_reads {
             sync.handled_reads = self.store_reads;
             list_watch.request_current_list(now);
@@ -237,7 +248,9 @@
     }
 
     fn take_tables(&mut self, peer: &Tables) {
-        self.evacuations.merge(&peer.evacuations);
+        if self.follows_evacuations() {
+            self.evacuations.merge(&peer.evacuations);
+        }
         self.epoch = self.epoch.max(peer.position.unwrap_or_default().epoch);
         if self.position.is_none()
             && let Some(position) = peer.position
@@ -374,6 +387,12 @@
             Action::ReadStore => {
                 self.nodes.get_mut(&from).expect("it exists").store_reads += 1;
             }
+            Action::SetEvacuationRole(role) => {
+                self.nodes
+                    .get_mut(&from)
+                    .expect("it exists")
+                    .evacuation_role = role;
+            }
             Action::ProbeUpstream(_) | Action::RecordSlowUpstreams(_) | Action::SetRole(_) => {}
         }
     }
--- a/crates/steering/tests/support/fleet.rs
+++ b/crates/steering/tests/support/fleet.rs
@@ -149,7 +149,10 @@
                     .expect("the listing balancer exists");
                 node.lists = true;
             }
-            Action::ProbeUpstream(_) | Action::RecordSlowUpstreams(_) | Action::SetRole(_) => {}
+            Action::ProbeUpstream(_)
+            | Action::RecordSlowUpstreams(_)
+            | Action::SetEvacuationRole(_)
+            | Action::SetRole(_) => {}
         }
     }
 
