--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -451,3 +451,23 @@
     assert_eq!(reports(&mut gossip, ms(5)), 1);
     assert_eq!(reports(&mut gossip, ms(6)), 0);
 }
+
+/// Guards against followers that watch all objects, or read them often, while a part of the fleet is of an earlier version.
+#[test]
+fn earlier_versions_add_few_calls_of_the_store() {
+    let calls = |older: usize| {
+        let count = 300;
+        let mut fleet = Fleet::start(count, 5, Store::default(), false);
+        fleet.run(ms(12_000));
+        fleet.follows_evacuations = true;
+        (older..count).for_each(|index| fleet.restart(index));
+        fleet.run(ms(12_000));
+        let before = fleet.calls();
+        fleet.run(ms(60_000));
+        (fleet.calls() - before) as f64 / count as f64
+    };
+    let (without, mixed) = (calls(300), calls(150));
+    println!("300 balancers, per minute: {without:.2}, half of an earlier version {mixed:.2}");
+    // A watch without changes takes 30 s.
+    assert!(mixed <= without + 2.5, "{without} and {mixed}");
+}
