Wait for peers once before the list of evacuations

The first list of evacuations waits for the tables of a peer. If it has several pages, it waited as long again before the second one, so that a balancer without peers was ready 1.5 s later.

the_pages_of_a_list_that_has_waited_for_peers_follow_at_once failed before (second page due after 3 s) and passes now (1.5 s), as do the other tests of evacuated_zones, list_watch and mixed_pages.

--- a/crates/steering/src/list_watch.rs
+++ b/crates/steering/src/list_watch.rs
@@ -342,7 +342,9 @@
         self.list_position = Some(oldest);
         self.next_call_at = now;
         if next.is_some() {
-            if is_first_page && self.position.is_none() && self.peer_tables == PeerTables::Pending {
+            let is_pending = self.peer_tables == PeerTables::Pending;
+            let may_wait = self.position.is_none() && !self.settings.prefers_peers;
+            if is_first_page && is_pending && may_wait {
                 self.next_call_at = now + self.settings.peer_tables_timeout;
             }
             let is_current = matches!(
--- a/crates/steering/tests/evacuated_zones.rs
+++ b/crates/steering/tests/evacuated_zones.rs
@@ -207,6 +207,20 @@
     assert_eq!(due, ms(40) + Settings::default().first_watch_delay);
 }
 
+/// Guards against a balancer that waits for peers before the list and once more before its second page.
+#[test]
+fn the_pages_of_a_list_that_has_waited_for_peers_follow_at_once() {
+    let mut list_watch = list_watch();
+    let timeout = Settings::default().peer_tables_timeout;
+    let page = CallOutcome::Page {
+        position: at(9),
+        next: Some("zone".to_owned()),
+    };
+    let action = list_watch.handle_outcome(timeout, page);
+    assert_eq!(action, ContentAction::Collect);
+    assert_eq!(list_watch.next_call().0, timeout);
+}
+
 /// Guards against calls in quick succession while the store fails or answers from before a restore.
 #[test]
 fn a_lister_keeps_the_pause_after_a_call() {
