--- a/crates/steering/tests/evacuation_fleet.rs
+++ b/crates/steering/tests/evacuation_fleet.rs
@@ -69,6 +69,78 @@
     assert_eq!(fleet.zones(), zones(&[(ZONE, true)]));
 }
 
+/// Guards against followers that rely on readers and watchers of an earlier version, which do not read evacuations.
+#[test]
+fn balancers_whose_zone_is_read_by_earlier_versions_follow_evacuations() {
+    for (count, zone_count, older) in [(8, 1, 5), (60, 4, 30), (60, 4, 58), (300, 5, 150)] {
+        let mut fleet = Fleet::start(count, zone_count, Store::default(), false);
+        fleet.run(ms(12_000));
+        fleet.follows_evacuations = true;
+        (older..count).for_each(|index| fleet.restart(index));
+        fleet.run(ms(12_000));
+        fleet.store.evacuate(ZONE);
+        fleet.run(BOUND);
+        assert_eq!(fleet.count_placing_in(ZONE), older, "{count} balancers");
+    }
+}
+
+/// Guards against a balancer that waits longer than the bound for its first watch after the tables of a peer, while all
+/// peers end.
+#[test]
+fn a_balancer_whose_peers_end_after_its_start_learns_of_an_evacuation_in_time() {
+    let mut fleet = Fleet::settled(8, 1);
+    fleet.restart(3);
+    while fleet.node(3).evacuations.known_up_to().is_none() {
+        fleet.run(ms(100));
+    }
+    // It is one of the watchers of its zone, which do not wait for the zone to lack a reader.
+    let peers = (0..8).filter(|index| *index != 3);
+    peers.for_each(|index| fleet.node(index).is_up = false);
+    fleet.store.evacuate(ZONE);
+    // The fleet has no network, so that the call and the transfer of the tables need some of the bound.
+    fleet.run(BOUND - ms(300));
+    assert_eq!(fleet.count_placing_in(ZONE), 0);
+}
+
+/// Guards against peers of the own zone that are ahead with upstreams all the time, but do not know the evacuation.
+#[test]
+fn tables_are_fetched_from_a_peer_that_knows_newer_evacuations() {
+    let settings = Settings {
+        follows_evacuations: true,
+        ..Settings::default()
+    };
+    let mut gossip = Gossip::new(settings, peer_info(0, 2), 1);
+    let state = |revision, evacuations| Freshness {
+        version: 1,
+        position: at(revision),
+        evacuations: Some(at(evacuations)),
+    };
+    gossip.set_freshness(state(10, 5));
+    let near = peer_info(2, 2);
+    let far = peer_info(1, 2);
+    for (from, freshness) in [(near, state(30, 5)), (far.clone(), state(20, 18))] {
+        let report = Report {
+            from,
+            freshness,
+            readers: Vec::new(),
+            ended: Vec::new(),
+            slow: Vec::new(),
+        };
+        gossip.handle_report(ms(10), report);
+    }
+    gossip.tick(ms(20));
+    gossip.tick(ms(1_000));
+    let fetched: Vec<_> = gossip
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::FetchTables { address, .. } => Some(address),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(fetched, [far.address]);
+}
+
 /// Guards against watches of a lagging copy that end an evacuation, or hide it from balancers which the current store has
 /// told through their peers.
 #[test]
@@ -379,3 +451,23 @@
     assert_eq!(reports(&mut gossip, ms(5)), 1);
     assert_eq!(reports(&mut gossip, ms(6)), 0);
 }
+
+/// Guards against followers that watch all objects, or read them often, while a part of the fleet is of an earlier version.
+#[test]
+fn earlier_versions_add_few_calls_of_the_store() {
+    let calls = |older: usize| {
+        let count = 300;
+        let mut fleet = Fleet::start(count, 5, Store::default(), false);
+        fleet.run(ms(12_000));
+        fleet.follows_evacuations = true;
+        (older..count).for_each(|index| fleet.restart(index));
+        fleet.run(ms(12_000));
+        let before = fleet.calls();
+        fleet.run(ms(60_000));
+        (fleet.calls() - before) as f64 / count as f64
+    };
+    let (without, mixed) = (calls(300), calls(150));
+    println!("300 balancers, per minute: {without:.2}, half of an earlier version {mixed:.2}");
+    // A watch without changes takes 30 s.
+    assert!(mixed <= without + 2.5, "{without} and {mixed}");
+}
