Bound the openings that cold upstreams get from all balancers

Cause: a cold upstream counted with 0.6 of its slots and was idle, so every balancer sent it new flows. Nothing bounded their sum, which the platform does by the rate of the pool.

Change: each balancer has a budget for each cold upstream (warmup_budget): the members of its zone are ranked by a hash, and half of the bound is dealt to them, so that two unrelated views stay within it. It rises over the first half of the warm-up. Copies of opening packets count; one over the budget is dropped (DropReason::WarmupBudgetUsed). A pool with only cold upstreams without a budget resets at once. The gossip publishes the members to the packet thread. A balancer with a new name sends reports to each of its zone, and places nothing on cold upstreams until a list has its own entry. Settings bounds.warmup_excess and bounds.warmup_slack, counters steer.warmup_*, event E5131. The choice of receivers of reports moves to a module of its own, unchanged.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -117,6 +117,8 @@
     5119 UPSTREAMS_CONTRADICTED Warn "upstream"
         "A restored store lacks entries of upstreams, or has removed ones; what was known before holds for a few seconds.";
     5120 STORE_READ_REQUESTED Info "store" "The current state of the store is read at the start, or as peers have newer tables and none supplies them.";
+    5131 WARMUP_BUDGET_USED Info "upstream"
+        "A pool has only cold upstreams left and this balancer has used its budgets for them; callers are reset.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/metrics.rs
+++ b/crates/skylarkflow/src/metrics.rs
@@ -96,6 +96,14 @@
     Replacements "steer.replacements" "flows" "Retransmitted opening packets for which another upstream was chosen.";
     Resets "steer.resets" "packets" "Resets sent to callers.";
     UpstreamsDown "steer.upstreams_down" "changes" "Times that an upstream was marked down because it did not answer.";
+    WarmupPlacements "steer.warmup_placements" "packets"
+        "Opening packets, copies included, that were sent to cold upstreams within their budgets.";
+    WarmupDiverted "steer.warmup_diverted" "packets"
+        "Opening packets for which a cold upstream was left out: its budget is used up or belongs to other balancers.";
+    WarmupRefused "steer.warmup_refused" "packets"
+        "Opening packets that were reset because only cold upstreams without a budget were left.";
+    WarmupDuplicatesDropped "steer.warmup_dropped" "packets"
+        "Copies of opening packets that were dropped because the budget of their cold upstream is used up.";
     Probes "steer.probes" "probes" "Probes of upstreams that may have ended.";
     StoreCalls "store.calls" "calls" "Calls to the store.";
     StoreFailures "store.failures" "calls" "Calls to the store without a valid answer.";
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -52,6 +52,7 @@
     balancer: Balancer,
     table: Option<Arc<Table>>,
     table_generation: u64,
+    warmup_generation: u64,
     next_sweep: Duration,
     channels: Channels,
 }
@@ -95,6 +96,7 @@
             balancer,
             table: None,
             table_generation: 0,
+            warmup_generation: 0,
             next_sweep: Duration::ZERO,
             channels,
         })
@@ -107,6 +109,7 @@
             let received = self.socket.recv_from(&mut buffer[PREFIX_BYTES..]);
             let now = self.state.clock.now();
             self.update_table(now);
+            self.update_warmup(now);
             self.handle_upstream_events(now);
             match received {
                 // An empty datagram comes from a `Waker` and carries nothing.
@@ -137,6 +140,18 @@
         }
     }
 
+    fn update_warmup(&mut self, now: Duration) {
+        let generation = self.state.warmup_generation();
+        if generation == self.warmup_generation {
+            return;
+        }
+        if let Some(inputs) = self.state.try_warmup() {
+            let table = self.table.as_deref();
+            self.balancer.set_warmup_inputs(now, table, inputs);
+            self.warmup_generation = generation;
+        }
+    }
+
     fn handle_upstream_events(&mut self, now: Duration) {
         while let Ok(event) = self.channels.upstream_events.try_recv() {
             let table = self.table.as_deref();
@@ -247,6 +262,7 @@
         let counter = match reason {
             DropReason::NoTable => Counter::PacketsWithoutTable,
             DropReason::UnknownCookie => Counter::PacketsUnknownCookie,
+            DropReason::WarmupBudgetUsed => Counter::WarmupDuplicatesDropped,
         };
         self.state.metrics.count(counter);
         let (caller, service) = (segment.flow.caller, segment.flow.service);
@@ -274,6 +290,11 @@
                     .event_log
                     .record(&event::UPSTREAM_RESTORED, format_args!("upstream {id:x}")),
                 Action::HealthChanged(change) => self.record_health_change(now, change),
+                Action::WarmupBudgetUsed(pool) => self.state.event_log.record_limited(
+                    now,
+                    &event::WARMUP_BUDGET_USED,
+                    format_args!("pool {pool}"),
+                ),
             }
         }
     }
@@ -318,6 +339,11 @@
             self.balancer
                 .drain_samples(|samples| latencies.record(samples));
         }
+        let warmup_counts = self.balancer.take_warmup_counts();
+        let metrics = &self.state.metrics;
+        metrics.add(Counter::WarmupPlacements, warmup_counts.placed);
+        metrics.add(Counter::WarmupDiverted, warmup_counts.diverted);
+        metrics.add(Counter::WarmupRefused, warmup_counts.refused);
         let flows = self.balancer.flow_count() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
     }
--- a/crates/skylarkflow/src/steer_peers.rs
+++ b/crates/skylarkflow/src/steer_peers.rs
@@ -6,6 +6,8 @@
         metrics::{Counter, Gauge},
         steer_data::UpstreamEvent,
         steer_probe::Waker,
+        steer_registration::RegisteredPeers,
+        steer_settings::Settings,
         steer_sources::TableSources,
         steer_state::State,
     },
@@ -26,8 +28,9 @@
         position::{Epoch, Position, Revision},
         table::Version,
         upstream::UpstreamId,
+        warmup_budget::Members,
     },
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{iter, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::UdpSocket,
         sync::{
@@ -41,6 +44,9 @@
 /// Path on which a balancer serves its tables to peers.
 const TABLES_PATH: &str = "/tables";
 
+/// Number of reports with which a balancer with a new name announces itself to each of its zone.
+const ANNOUNCEMENTS: u32 = 3;
+
 /// Maximum length of a received report.
 const MAX_REPORT_BYTES: usize = 2_048;
 
@@ -52,7 +58,9 @@
     /// Upstreams that the packet thread has found to have ended.
     pub ended_upstreams: UnboundedReceiver<UpstreamId>,
     /// Registered balancers besides this one, as listed at the store.
-    pub registered_peers: UnboundedReceiver<Vec<PeerInfo>>,
+    pub registered_peers: UnboundedReceiver<RegisteredPeers>,
+    /// Passes the members to the packet thread.
+    pub members: MemberPublisher,
     /// How this balancer learns of changes in the store.
     pub role: watch::Sender<Role>,
     /// Whether a peer can provide or has provided its tables at the start.
@@ -92,6 +100,63 @@
     }
 }
 
+/// Passes the known balancers to the packet thread, which shares the budgets of cold upstreams with them.
+pub struct MemberPublisher {
+    state: Arc<State>,
+    local: PeerInfo,
+    /// Number of reports with which a new balancer announces itself to each of its zone.
+    announcements: u32,
+    has_list: bool,
+    /// Whether a list had this balancer, and thus all that were registered before.
+    is_complete: bool,
+    published: Option<Arc<Members>>,
+}
+
+impl MemberPublisher {
+    /// Creates a publisher that has published nothing.
+    pub fn new(state: Arc<State>, settings: &Settings) -> MemberPublisher {
+        MemberPublisher {
+            state,
+            local: settings.peer_info(),
+            announcements: settings.warmup_bounds().map_or(0, |_| ANNOUNCEMENTS),
+            has_list: false,
+            is_complete: false,
+            published: None,
+        }
+    }
+
+    /// Takes from a list of the registered balancers whether this one is known to the others.
+    fn handle_list(&mut self, gossip: &mut Gossip, registered: &RegisteredPeers) {
+        if !self.has_list && !registered.is_known {
+            gossip.announce(self.announcements);
+        }
+        self.has_list = true;
+        self.is_complete |= registered.has_own;
+    }
+
+    /// Publishes the members if they have changed since the last call.
+    fn publish(&mut self, gossip: &Gossip) {
+        let Some(peers) = gossip.members() else {
+            return;
+        };
+        let (local, is_complete) = (&self.local, self.is_complete);
+        let members = iter::once(local).chain(peers);
+        let is_published = |published: &Arc<Members>| {
+            published.is_complete == is_complete && members.clone().eq(&published.all)
+        };
+        if self.published.as_ref().is_some_and(is_published) {
+            return;
+        }
+        let members = Arc::new(Members {
+            local: local.name.clone(),
+            is_complete,
+            all: members.cloned().collect(),
+        });
+        self.state.set_warmup_members(Arc::clone(&members));
+        self.published = Some(members);
+    }
+}
+
 /// Progress of a fetch of a peer's tables.
 enum FetchProgress {
     /// The response has begun.
@@ -130,7 +195,10 @@
                 }
             }
             Some(id) = channels.ended_upstreams.recv() => gossip.record_ended_upstream(state.clock.now(), id),
-            Some(peers) = channels.registered_peers.recv() => gossip.set_registered_peers(state.clock.now(), peers),
+            Some(peers) = channels.registered_peers.recv() => {
+                channels.members.handle_list(&mut gossip, &peers);
+                gossip.set_registered_peers(state.clock.now(), peers.others);
+            }
             Some(progress) = fetch_progress.recv() => {
                 handle_progress(&sources, &mut gossip, &channels, progress);
                 // Peers that wait for the tables learn at once that this balancer has them.
@@ -164,6 +232,7 @@
             }
         }
         state.metrics.set(Gauge::Peers, gossip.len() as u64);
+        channels.members.publish(&gossip);
     }
 }
 
--- a/crates/skylarkflow/src/steer_registration.rs
+++ b/crates/skylarkflow/src/steer_registration.rs
@@ -33,9 +33,25 @@
 /// Age at which a reader removes the entry of another balancer, which has missed three refreshes by then.
 const ENTRY_MAX_AGE: Duration = Duration::from_secs(1_800);
 
-/// Delay before a failed registration is retried.
+/// Delay before a failed registration, or a list from a replica that lacks the own entry, is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum number of lists in a row because a replica lacks the own entry; its age is a few seconds at most.
+const MAX_LIST_RETRIES: u32 = 10;
+
+/// Age at which every other balancer has listed an entry: the interval between their lists, and the age of a replica.
+const KNOWN_ENTRY_AGE: Duration = Duration::from_secs(40);
+
+/// The registered balancers, as a list of the store has them.
+pub struct RegisteredPeers {
+    /// All but this one.
+    pub others: Vec<PeerInfo>,
+    /// Whether the list has this one, so that it also has all that were registered before.
+    pub has_own: bool,
+    /// Whether the others know this one from an earlier process.
+    pub is_known: bool,
+}
+
 /// Keeps the entry of this balancer at the store fresh and lists the other balancers.
 pub struct Registrar {
     /// Tables, which know the epoch of the store.
@@ -45,7 +61,10 @@
     /// This balancer.
     pub local: PeerInfo,
     /// Receives the other registered balancers after each list.
-    pub registered_peers: UnboundedSender<Vec<PeerInfo>>,
+    pub registered_peers: UnboundedSender<RegisteredPeers>,
+    /// Whether the balancers are listed until the list has this one: it shares budgets with all that were registered
+    /// before.
+    pub needs_own_entry: bool,
     /// Role of this balancer; a reader removes entries that are no longer refreshed.
     pub role: watch::Receiver<Role>,
 }
@@ -59,6 +78,14 @@
     expired: Vec<(Name, Revision)>,
 }
 
+/// Outcome of a refresh.
+struct Outcome {
+    /// Whether the entry of this balancer is fresh.
+    is_fresh: bool,
+    /// Whether the list had the entry.
+    has_own: bool,
+}
+
 impl Registrar {
     /// Runs until the task is aborted.
     ///
@@ -66,6 +93,11 @@
     pub async fn run(self) {
         let mut refreshed_at: Option<Duration> = None;
         let mut list_delay = FIRST_LIST_DELAY;
+        let mut remaining_retries = if self.needs_own_entry {
+            MAX_LIST_RETRIES
+        } else {
+            0
+        };
         let mut epoch = self.sources.subscribe_epoch();
         let mut listed_epoch: Option<Epoch> = None;
         loop {
@@ -74,12 +106,23 @@
             let is_restored = listed_epoch.is_some_and(|listed| listed < known_epoch);
             let is_due = is_restored || refreshed_at.is_none_or(|at| now >= at + REFRESH_INTERVAL);
             match self.refresh(is_due, is_restored).await {
-                Ok(is_fresh) => {
-                    refreshed_at = if is_fresh { Some(now) } else { refreshed_at };
+                Ok(outcome) => {
+                    refreshed_at = if outcome.is_fresh {
+                        Some(now)
+                    } else {
+                        refreshed_at
+                    };
+                    let is_replica_behind = list_delay == LIST_INTERVAL && !outcome.has_own;
+                    let delay = if is_replica_behind && remaining_retries > 0 {
+                        remaining_retries -= 1;
+                        RETRY_DELAY
+                    } else {
+                        list_delay
+                    };
                     let listed = self.listed_epoch(known_epoch);
                     listed_epoch = Some(listed);
                     tokio::select! {
-                        () = time::sleep(list_delay) => list_delay = LIST_INTERVAL,
+                        () = time::sleep(delay) => list_delay = LIST_INTERVAL,
                         Ok(_) = epoch.wait_for(|&known| known > listed) => {}
                     }
                 }
@@ -106,22 +149,30 @@
         }
     }
 
-    /// Lists the balancers and, if `is_due` is set, writes the entry of this one where it is missing, wrong or old;
-    /// returns whether the entry is fresh.
-    async fn refresh(&self, is_due: bool, requires_latest: bool) -> Result<bool> {
+    /// Lists the balancers and, if `is_due` is set, writes the entry of this one where it is missing, wrong or old.
+    async fn refresh(&self, is_due: bool, requires_latest: bool) -> Result<Outcome> {
         let now_unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
         let listing = self.list(now_unix, requires_latest).await?;
+        let own = listing.own.as_ref();
+        let is_known = own.is_some_and(|own| age(own, now_unix) >= KNOWN_ENTRY_AGE);
+        let registered_peers = RegisteredPeers {
+            others: listing.others,
+            has_own: own.is_some(),
+            is_known,
+        };
         // Sending only fails when the receiver was dropped because the process is exiting.
-        let _ = self.registered_peers.send(listing.others);
+        let _ = self.registered_peers.send(registered_peers);
         if *self.role.borrow() == Role::Reader {
             self.remove_expired(listing.expired).await?;
         }
-        let own = listing.own.as_ref();
         let is_fresh = own.is_some_and(|own| self.is_fresh(own, now_unix));
         if is_due && !is_fresh {
             self.write(now_unix, own.is_some()).await?;
         }
-        Ok(is_due || is_fresh)
+        Ok(Outcome {
+            is_fresh: is_due || is_fresh,
+            has_own: own.is_some(),
+        })
     }
 
     async fn list(&self, now_unix: Duration, requires_latest: bool) -> Result<Listing> {
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::{self, Error, Finding, Log},
     serde::Deserialize,
-    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch},
+    skylarkflow_steering::{directory, gossip::PeerInfo, lifecycle, list_watch, warmup_budget},
     std::{
         net::{Ipv4Addr, SocketAddr},
         path::Path,
@@ -58,6 +58,10 @@
     pub flow_seconds: f64,
     /// Grace period in seconds between SIGTERM and SIGKILL.
     pub grace_seconds: f64,
+    /// Factor of the rate of a pool in the bound of openings for a cold upstream; `None` without a bound.
+    pub warmup_excess: Option<f64>,
+    /// Openings in a second beside it.
+    pub warmup_slack: Option<f64>,
 }
 
 /// Decisions that follow the load.
@@ -124,6 +128,8 @@
         Bounds {
             flow_seconds: 60.0,
             grace_seconds: 6.0,
+            warmup_excess: None,
+            warmup_slack: None,
         }
     }
 }
@@ -146,6 +152,14 @@
         }
     }
 
+    /// Returns the bounds of cold upstreams; `None` if the platform states none.
+    pub fn warmup_bounds(&self) -> Option<warmup_budget::Bounds> {
+        Some(warmup_budget::Bounds {
+            excess: self.bounds.warmup_excess?,
+            slack: self.bounds.warmup_slack?,
+        })
+    }
+
     /// Returns the name, zone and address under which peers know this balancer.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
@@ -191,6 +205,8 @@
     let Bounds {
         flow_seconds,
         grace_seconds,
+        warmup_excess,
+        warmup_slack,
     } = settings.bounds;
     if !(1.0..=86_400.0).contains(&flow_seconds) {
         report("bounds.flow_seconds", "is not within 1 to 86400");
@@ -198,5 +214,22 @@
     if !(1.0..=3_600.0).contains(&grace_seconds) {
         report("bounds.grace_seconds", "is not within 1 to 3600");
     }
+    if warmup_excess.is_some_and(|excess| !(0.0..=1_000.0).contains(&excess)) {
+        report("bounds.warmup_excess", "is not within 0 to 1000");
+    }
+    if warmup_slack.is_some_and(|slack| !(0.0..=1_000_000.0).contains(&slack)) {
+        report("bounds.warmup_slack", "is not within 0 to 1000000");
+    }
+    match (warmup_excess, warmup_slack) {
+        (Some(_), None) => report(
+            "bounds.warmup_slack",
+            "is missing beside bounds.warmup_excess",
+        ),
+        (None, Some(_)) => report(
+            "bounds.warmup_excess",
+            "is missing beside bounds.warmup_slack",
+        ),
+        _ => {}
+    }
     findings
 }
--- a/crates/skylarkflow/src/steer_state.rs
+++ b/crates/skylarkflow/src/steer_state.rs
@@ -5,7 +5,7 @@
         clock::Clock, event_log::EventLog, metrics::Metrics, steer_latency::Latencies,
         steer_sources::ObjectKind,
     },
-    skylarkflow_steering::{lifecycle::Phase, table::Table},
+    skylarkflow_steering::{lifecycle::Phase, table::Table, warmup_budget},
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -27,6 +27,8 @@
     pub latencies: Mutex<Latencies>,
     table: Mutex<Option<Arc<Table>>>,
     table_generation: AtomicU64,
+    warmup: Mutex<warmup_budget::Inputs>,
+    warmup_generation: AtomicU64,
     phase: Mutex<Phase>,
     last_packet: AtomicU64,
     is_stopped: AtomicBool,
@@ -44,6 +46,8 @@
             latencies: Mutex::new(Latencies::default()),
             table: Mutex::new(None),
             table_generation: AtomicU64::new(0),
+            warmup: Mutex::default(),
+            warmup_generation: AtomicU64::new(0),
             phase: Mutex::new(phase),
             last_packet: AtomicU64::new(0),
             is_stopped: AtomicBool::new(false),
@@ -68,6 +72,32 @@
         Some(table.clone())
     }
 
+    /// Replaces the bounds of cold upstreams.
+    pub fn set_warmup_bounds(&self, bounds: Option<warmup_budget::Bounds>) {
+        self.update_warmup(|inputs| inputs.bounds = bounds);
+    }
+
+    /// Replaces the members that share the budgets of cold upstreams.
+    pub fn set_warmup_members(&self, members: Arc<warmup_budget::Members>) {
+        self.update_warmup(|inputs| inputs.members = Some(members));
+    }
+
+    fn update_warmup(&self, update: impl FnOnce(&mut warmup_budget::Inputs)) {
+        update(&mut lock(&self.warmup));
+        self.warmup_generation.fetch_add(1, Ordering::Release);
+    }
+
+    /// Returns the number of changes of the inputs of budgets, which shows whether there is a new one.
+    pub fn warmup_generation(&self) -> u64 {
+        self.warmup_generation.load(Ordering::Acquire)
+    }
+
+    /// Returns the inputs of the budgets of cold upstreams; `None` without waiting if another thread holds their lock.
+    pub fn try_warmup(&self) -> Option<warmup_budget::Inputs> {
+        let inputs = self.warmup.try_lock().ok()?;
+        Some(inputs.clone())
+    }
+
     /// Returns the lifecycle phase.
     pub fn phase(&self) -> Phase {
         *lock(&self.phase)
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -5,9 +5,10 @@
         steer_control::{self, ObjectSync},
         steer_daemon::Error,
         steer_data::UpstreamEvent,
-        steer_http, steer_peers,
+        steer_http,
+        steer_peers::{self, MemberPublisher},
         steer_probe::{self, Probe, Waker},
-        steer_registration::Registrar,
+        steer_registration::{RegisteredPeers, Registrar},
         steer_settings::Settings,
         steer_sources::{ObjectKind, TableSources},
         steer_state::State,
@@ -18,7 +19,7 @@
     skylarkflow_adapter::client::Store,
     skylarkflow_steering::{
         directory::Directory,
-        gossip::{self, Gossip, PeerInfo, Role},
+        gossip::{self, Gossip, Role},
         list_watch::{ListWatch, PeerTables},
         upstream::UpstreamId,
     },
@@ -57,7 +58,7 @@
     role: watch::Receiver<Role>,
     peer_tables: watch::Receiver<PeerTables>,
     store_reads: watch::Receiver<u64>,
-    registered_peers: UnboundedSender<Vec<PeerInfo>>,
+    registered_peers: UnboundedSender<RegisteredPeers>,
     /// Tasks that call the store, restarted when its address changes.
     store_tasks: Vec<JoinHandle<()>>,
 }
@@ -73,6 +74,7 @@
         settings: Settings,
         forwarder: ForwarderHandle,
     ) -> Result<Tasks, Error> {
+        state.set_warmup_bounds(settings.warmup_bounds());
         let router = steer_http::router(Arc::clone(state));
         if let Some(metrics) = settings.metrics {
             serve_http(metrics, router.clone()).await?;
@@ -112,6 +114,7 @@
             .build();
         let client = client.map_err(skylarkflow_store::Error::from)?;
         let channels = steer_peers::Channels {
+            members: MemberPublisher::new(Arc::clone(state), &tasks.settings),
             ended_upstreams: forwarder.ended_upstreams,
             registered_peers: registered_peers_receiver,
             role: role_sender,
@@ -143,6 +146,8 @@
     pub fn reload(&mut self, settings: Settings) -> Result<(), Error> {
         self.sources
             .set_directory_settings(settings.upstream_directory());
+        let state = self.sources.state();
+        state.set_warmup_bounds(settings.warmup_bounds());
         let is_store_changed = settings.store != self.settings.store;
         self.settings = Settings {
             store: settings.store,
@@ -194,6 +199,7 @@
             store,
             local: self.settings.peer_info(),
             registered_peers: self.registered_peers.clone(),
+            needs_own_entry: self.settings.warmup_bounds().is_some(),
             role: self.role.clone(),
         };
         self.store_tasks.push(tokio::spawn(registrar.run()));
--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -147,3 +147,92 @@
         assert!(errors.contains(field), "{field} in {errors}");
     }
 }
+
+/// Guards against a bound of cold upstreams that is half stated or out of range, and is then not in force although the
+/// operator relies on it.
+#[test]
+fn invalid_bounds_of_cold_upstreams_are_reported() {
+    let cases = [
+        ("warmup_excess: 1.5", "bounds.warmup_slack"),
+        ("warmup_slack: 5", "bounds.warmup_excess"),
+        ("warmup_excess: -1, warmup_slack: 5", "bounds.warmup_excess"),
+        (
+            "warmup_excess: .nan, warmup_slack: 5",
+            "bounds.warmup_excess",
+        ),
+        (
+            "warmup_excess: 1.5, warmup_slack: .inf",
+            "bounds.warmup_slack",
+        ),
+    ];
+    for (bounds, field) in cases {
+        let (code, errors) = check_settings(&format!("bounds: {{{bounds}}}\n"));
+        assert_eq!(code, Some(2), "{bounds}: {errors}");
+        assert!(errors.contains(field), "{field} in {errors}");
+    }
+    let (code, errors) = check_settings("bounds: {warmup_excess: 1.5, warmup_slack: 5}\n");
+    assert_eq!(code, Some(0), "{errors}");
+}
+
+/// Returns the template of the settings with and without the sections that depend on what the platform states, and with
+/// a plausible value in place of each tag.
+fn rendered_templates() -> [String; 2] {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/settings.yaml");
+    let template = fs::read_to_string(path).expect("the template");
+    [true, false].map(|has_sections| {
+        let mut lines = Vec::new();
+        let mut is_in_section = false;
+        for line in template.lines() {
+            if line.starts_with("{{#") || line.starts_with("{{/") {
+                is_in_section = line.starts_with("{{#");
+            } else if has_sections || !is_in_section {
+                lines.push(render_line(line));
+            }
+        }
+        lines.join("\n")
+    })
+}
+
+/// Replaces the tag of a line: by a number, or between quotes by an address.
+fn render_line(line: &str) -> String {
+    let Some((before, rest)) = line.split_once("{{") else {
+        return line.to_owned();
+    };
+    let (_, after) = rest.split_once("}}").expect("the end of the tag");
+    let value = match (before.ends_with('"'), after.starts_with(':')) {
+        (true, true) => "127.0.0.1",
+        (true, false) => "127.0.0.1:7200",
+        (false, _) => "5",
+    };
+    [before, value, after].concat()
+}
+
+/// Guards against a template of the settings that is no valid file if the platform states the bounds of cold upstreams,
+/// or if it does not.
+#[test]
+fn the_template_of_the_settings_is_valid_with_and_without_bounds() {
+    let [with_bounds, without] = rendered_templates();
+    assert!(
+        with_bounds.contains("  warmup_excess: 5\n  warmup_slack: 5\n"),
+        "{with_bounds}"
+    );
+    assert!(!without.contains("warmup"), "{without}");
+    for text in [with_bounds, without] {
+        let (code, errors) = check_settings(&text);
+        assert_eq!(code, Some(0), "{errors} in {text}");
+    }
+}
+
+/// Checks settings; returns the exit code and the findings.
+fn check_settings(text: &str) -> (Option<i32>, String) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("settings.yaml");
+    fs::write(&path, text).expect("settings");
+    let output = Command::new(env!("CARGO_BIN_EXE_skylarkflow"))
+        .args(["steer", "--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the command runs");
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), errors)
+}
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -9,7 +9,8 @@
         segment::{Kind, Segment},
         table::{Route, Table, Target, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
-        upstream::{Upstream, UpstreamId},
+        upstream::{PoolName, Upstream, UpstreamId},
+        warmup_budget::{self, WarmupBudget},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     skylarkflow_policy::{
@@ -36,6 +37,8 @@
     pub health: health::Settings,
     /// Detection of upstreams that have ended.
     pub liveness: liveness::Settings,
+    /// Budgets of openings for cold upstreams.
+    pub warmup_budget: warmup_budget::Settings,
     /// Time within which a new configuration is active on every connected balancer: the longest that the platform allows
     /// in any deployment.
     pub max_config_lag: Duration,
@@ -59,6 +62,7 @@
                 ..health::Settings::default()
             },
             liveness: liveness::Settings::default(),
+            warmup_budget: warmup_budget::Settings::default(),
             max_config_lag: Duration::from_secs(6),
             pause_threshold: Duration::from_millis(500),
         }
@@ -132,6 +136,8 @@
     UpstreamRestored(UpstreamId),
     /// Report that the health of an upstream has changed, so that it gets no new flows or gets them again.
     HealthChanged(Change),
+    /// Report that all upstreams of a pool that could take a flow are cold, and their budgets are used up.
+    WarmupBudgetUsed(PoolName),
 }
 
 /// Why a packet is dropped.
@@ -141,6 +147,8 @@
     NoTable,
     /// No known upstream has its cookie.
     UnknownCookie,
+    /// The packet repeats an opening packet, and the budget of its cold upstream is used up.
+    WarmupBudgetUsed,
 }
 
 /// Decision logic of the data path of one balancer.
@@ -150,6 +158,7 @@
     tracker: FlowTracker,
     monitor: Monitor,
     liveness: LivenessTracker,
+    warmup_budget: WarmupBudget,
     rng: SmallRng,
     changes: Vec<Change>,
     actions: Vec<Action>,
@@ -167,6 +176,7 @@
             monitor: Monitor::new(settings.health),
             rng: SmallRng::seed_from_u64(seed),
             liveness: LivenessTracker::new(settings.liveness),
+            warmup_budget: WarmupBudget::new(settings.warmup_budget),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -195,8 +205,27 @@
         mem::take(&mut self.actions)
     }
 
+    /// Adopts changed bounds of cold upstreams, or changed members that share their budgets.
+    pub fn set_warmup_inputs(
+        &mut self,
+        now: Duration,
+        table: Option<&Table>,
+        inputs: warmup_budget::Inputs,
+    ) {
+        self.warmup_budget.set_inputs(now, inputs);
+        if let Some(table) = table {
+            self.warmup_budget.update_table(now, table);
+        }
+    }
+
+    /// Returns the numbers of decisions about cold upstreams since the last call.
+    pub fn take_warmup_counts(&mut self) -> warmup_budget::Counts {
+        self.warmup_budget.take_counts()
+    }
+
     /// Updates the state of upstreams by the differences between a new table and the previous one.
     pub fn update_table(&mut self, now: Duration, previous: Option<&Table>, table: &Table) {
+        self.warmup_budget.update_table(now, table);
         for upstream in table.cookies.values() {
             let id = upstream.record.id;
             let was_registered = previous.is_some_and(|previous| previous.is_registered(upstream));
@@ -274,6 +303,7 @@
         let idle = table.map_or(DEFAULT_IDLE_TIMEOUT, |table| table.idle_timeout);
         self.tracker.sweep(now, idle);
         self.monitor.tick(now, &mut self.changes);
+        self.warmup_budget.tick(now);
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -345,7 +375,8 @@
         let mut unanswered = None;
         if let Some((upstream, last)) = self.tracker.opening_flow(&key) {
             if retransmission <= last {
-                return forward_opening(table, Arc::clone(upstream), retransmission, 0.0);
+                let upstream = Arc::clone(upstream);
+                return self.forward_duplicate(now, table, upstream, retransmission);
             }
             unanswered = Some(Arc::clone(upstream));
         }
@@ -362,6 +393,27 @@
         forward_opening(table, choice.upstream, retransmission, choice.score)
     }
 
+    /// Forwards a copy of an opening packet to the upstream that was chosen for it.
+    ///
+    /// A copy over the budget of a cold upstream is dropped: the upstream has the first one, and if that was lost, the
+    /// caller sends a retransmission.
+    fn forward_duplicate(
+        &mut self,
+        now: Duration,
+        table: &Table,
+        upstream: Arc<Upstream>,
+        retransmission: u32,
+    ) -> Verdict {
+        // The table may have a later entry of the upstream than that with which the flow was opened.
+        let cookie = upstream.cookie.unwrap_or_default();
+        let upstream = table.cookies.get(&cookie).cloned().unwrap_or(upstream);
+        let warmup = table.warmups.get(&upstream.record.pool);
+        if !self.warmup_budget.record_copy(now, warmup, &upstream) {
+            return Verdict::Drop(DropReason::WarmupBudgetUsed);
+        }
+        forward_opening(table, upstream, retransmission, 0.0)
+    }
+
     fn choose_upstream(
         &mut self,
         now: Duration,
@@ -370,18 +422,32 @@
     ) -> Option<placement::Choice> {
         let target = draw_target(&route.targets, &mut self.rng)?;
         let upstreams = table.pools.get(&target.pool)?;
-        let (monitor, liveness) = (&self.monitor, &self.liveness);
-        placement::choose(
-            &self.settings.placement,
-            now,
-            &self.settings.zone,
-            upstreams,
-            |upstream| {
-                let id = upstream.record.id;
-                !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id)
-            },
-            &mut self.rng,
-        )
+        let warmup = table.warmups.get(&target.pool);
+        let (monitor, liveness, budget) = (&self.monitor, &self.liveness, &self.warmup_budget);
+        let is_admitted = |upstream: &Upstream| budget.admits(now, warmup, upstream);
+        let is_usable = |upstream: &Upstream| {
+            let id = upstream.record.id;
+            !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id) && is_admitted(upstream)
+        };
+        let (settings, zone) = (&self.settings.placement, &self.settings.zone);
+        let rng = &mut self.rng;
+        let mut choice = placement::choose(settings, now, zone, upstreams, is_usable, rng);
+        // Without a usable upstream, any other one is chosen, as the failure detection may be wrong. A used budget is
+        // certain, so the choice is then repeated among the upstreams that have some left.
+        if choice
+            .as_ref()
+            .is_some_and(|choice| !is_admitted(&choice.upstream))
+        {
+            choice = placement::choose(settings, now, zone, upstreams, is_admitted, rng);
+            choice = choice.filter(|choice| is_admitted(&choice.upstream));
+        }
+        let chosen = choice.as_ref().map(|choice| &*choice.upstream);
+        let budget = &mut self.warmup_budget;
+        if budget.record_choice(now, &target.pool, warmup, chosen) {
+            let pool = target.pool.clone();
+            self.actions.push(Action::WarmupBudgetUsed(pool));
+        }
+        choice
     }
 
     fn handle_established(
--- a/crates/steering/src/gossip.rs
+++ b/crates/steering/src/gossip.rs
@@ -11,6 +11,7 @@
     crate::{
         fetches::{self, Fetches},
         position::Position,
+        receivers::{self, Announcements},
         upstream::UpstreamId,
     },
     skylarkflow_policy::id::{Map, Set},
@@ -154,6 +155,7 @@
     store_read_at: Option<Duration>,
     /// Whether the registered balancers were read from the store.
     has_registered_peers: bool,
+    announcements: Announcements,
     actions: Vec<Action>,
 }
 
@@ -179,6 +181,7 @@
             fetches: Fetches::new(settings.fetches),
             store_read_at: None,
             has_registered_peers: false,
+            announcements: Announcements::default(),
             actions: Vec::new(),
         }
     }
@@ -198,6 +201,18 @@
         self.role
     }
 
+    /// Sends a number of reports to each balancer of the zone, which do not know this one yet.
+    pub fn announce(&mut self, count: u32) {
+        self.announcements.start(count);
+    }
+
+    /// Returns the peers that are registered or were heard from recently; `None` until the registered ones were read
+    /// from the store.
+    pub fn members(&self) -> Option<impl Iterator<Item = &PeerInfo> + Clone> {
+        let members = self.members.values().map(|member| &member.info);
+        self.has_registered_peers.then_some(members)
+    }
+
     /// Returns the number of known peers.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -545,40 +560,25 @@
             .collect()
     }
 
-    fn report_receivers(&self) -> Vec<SocketAddr> {
-        let local_name = &self.local.name;
-        let after = self.members.range(local_name.clone()..);
-        let before = self.members.range(..local_name.clone());
-        let ring: Vec<&Member> = after.chain(before).map(|(_, member)| member).collect();
-        let own = ring
-            .iter()
-            .filter(|member| member.info.zone == self.local.zone);
-        let mut receivers: Vec<SocketAddr> = own
-            .enumerate()
-            .filter(|(index, _)| (index + 1).is_power_of_two())
-            .take(self.settings.fanout)
-            .map(|(_, member)| member.info.address)
-            .collect();
+    fn report_receivers(&mut self) -> Vec<SocketAddr> {
+        let Settings {
+            fanout,
+            remote_fanout,
+            ..
+        } = self.settings;
+        let PeerInfo { name, zone, .. } = &self.local;
+        let after = self.members.range(name.clone()..);
+        let before = self.members.range(..name.clone());
+        let ring = after.chain(before).map(|(_, member)| &member.info);
+        let ring: Vec<&PeerInfo> = ring.collect();
+        let mut addresses = receivers::in_zone(&ring, zone, fanout);
+        let mut announced = self.announcements.next_receivers(&ring, zone);
+        announced.retain(|address| !addresses.contains(address));
+        addresses.extend(announced);
         if self.is_reader() {
-            receivers.extend(self.remote_receivers(&ring));
-        }
-        receivers
-    }
-
-    /// Returns the addresses of the next balancers of each other zone, which change with every report: those that a
-    /// zone relies on for changes may have ended.
-    fn remote_receivers(&self, ring: &[&Member]) -> Vec<SocketAddr> {
-        let mut zones: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
-        for member in ring {
-            let addresses = zones.entry(&member.info.zone).or_default();
-            addresses.push(member.info.address);
+            let remote = receivers::in_other_zones(&ring, zone, remote_fanout, self.sequence);
+            addresses.extend(remote);
         }
-        zones.remove(self.local.zone.as_str());
-        let fanout = self.settings.remote_fanout;
-        let next = zones.values().flat_map(|addresses| {
-            let start = self.sequence as usize % addresses.len();
-            addresses.iter().cycle().skip(start).take(fanout).copied()
-        });
-        next.collect()
+        addresses
     }
 }
--- a/crates/steering/tests/support/mod.rs
+++ b/crates/steering/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
 
+pub mod cold_fleet;
 pub mod fleet;
 
 use {
