Merge the budget of openings for cold upstreams

No deployment in force states a rate for cold upstreams, so nothing changes there but a few more lists of the balancers at a start.

--- a/crates/skylarkflow/src/event.rs
+++ b/crates/skylarkflow/src/event.rs
@@ -131,6 +131,8 @@
         "An upstream responds clearly slower than the others of its routes and gets fewer new flows.";
     5142 UPSTREAM_USUAL Info "upstream"
         "An upstream is no longer known to be slow and gets its usual share of new flows.";
+    5131 WARMUP_BUDGET_USED Info "upstream"
+        "A pool has only cold upstreams left and this balancer has used its budgets for them; callers are reset.";
     6001 MEMBER_CHANGED Info "member" "A balancer joined, left or changed its state.";
     6002 FENCE_LOST Warn "member"
         "This balancer does not hear from a majority of its zone and must not dispatch non-idempotent requests.";
--- a/crates/skylarkflow/src/steer_data.rs
+++ b/crates/skylarkflow/src/steer_data.rs
@@ -54,6 +54,7 @@
     balancer: Balancer,
     table: Option<Arc<Table>>,
     table_generation: u64,
+    warmup_generation: u64,
     next_sweep: Duration,
     /// Packets that arrived before a table from which they can be handled.
     held: HeldPackets,
@@ -101,6 +102,7 @@
             balancer,
             table: None,
             table_generation: 0,
+            warmup_generation: 0,
             next_sweep: Duration::ZERO,
             held: HeldPackets::default(),
             channels,
@@ -114,6 +116,7 @@
             let received = self.socket.recv_from(&mut buffer[PREFIX_BYTES..]);
             let now = self.state.clock.now();
             self.update_table(now);
+            self.update_warmup(now);
             self.handle_upstream_events(now);
             match received {
                 // An empty datagram comes from a `Waker` and carries nothing.
@@ -151,6 +154,18 @@
         }
     }
 
+    fn update_warmup(&mut self, now: Duration) {
+        let generation = self.state.warmup_generation();
+        if generation == self.warmup_generation {
+            return;
+        }
+        if let Some(inputs) = self.state.try_warmup() {
+            let table = self.table.as_deref();
+            self.balancer.set_warmup_inputs(now, table, inputs);
+            self.warmup_generation = generation;
+        }
+    }
+
     fn handle_upstream_events(&mut self, now: Duration) {
         while let Ok(event) = self.channels.upstream_events.try_recv() {
             let table = self.table.as_deref();
@@ -268,6 +283,7 @@
             DropReason::DuplicateOpening => Counter::PacketsDuplicate,
             DropReason::NoTable => Counter::PacketsWithoutTable,
             DropReason::UnknownCookie => Counter::PacketsUnknownCookie,
+            DropReason::WarmupBudgetUsed => Counter::WarmupDuplicatesDropped,
         };
         self.state.metrics.count(counter);
         let (caller, service) = (segment.flow.caller, segment.flow.service);
@@ -299,6 +315,11 @@
                 Action::AdmissionChanged { pool, is_limiting } => {
                     self.record_admission_change(&pool, is_limiting);
                 }
+                Action::WarmupBudgetUsed(pool) => self.state.event_log.record_limited(
+                    now,
+                    &event::WARMUP_BUDGET_USED,
+                    format_args!("pool {pool}"),
+                ),
             }
         }
     }
@@ -351,6 +372,11 @@
         }
         let slow = self.balancer.slow_upstream_count() as u64;
         self.state.metrics.set(Gauge::UpstreamsSlow, slow);
+        let warmup_counts = self.balancer.take_warmup_counts();
+        let metrics = &self.state.metrics;
+        metrics.add(Counter::WarmupPlacements, warmup_counts.placed);
+        metrics.add(Counter::WarmupDiverted, warmup_counts.diverted);
+        metrics.add(Counter::WarmupRefused, warmup_counts.refused);
         let flows = self.balancer.flow_count() as u64;
         self.state.metrics.set(Gauge::FlowsRecent, flows);
         self.record_admission(now);
--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -7,7 +7,7 @@
     },
     serde::Deserialize,
     skylarkflow_steering::{
-        admission, directory, gossip::PeerInfo, lifecycle, list_watch, placement,
+        admission, directory, gossip::PeerInfo, lifecycle, list_watch, placement, warmup_budget,
     },
     std::{
         net::{Ipv4Addr, SocketAddr},
@@ -65,6 +65,10 @@
     pub grace_seconds: f64,
     /// Time in milliseconds within which the evacuation of a zone has to be in force; `None` if zones are not evacuated.
     pub evacuate_ms: Option<f64>,
+    /// Factor of the rate of a pool in the bound of openings for a cold upstream; `None` without a bound.
+    pub warmup_excess: Option<f64>,
+    /// Openings in a second beside it.
+    pub warmup_slack: Option<f64>,
 }
 
 /// Decisions that follow the load.
@@ -134,6 +138,8 @@
             flow_seconds: 60.0,
             grace_seconds: 6.0,
             evacuate_ms: None,
+            warmup_excess: None,
+            warmup_slack: None,
         }
     }
 }
@@ -177,6 +183,14 @@
         }
     }
 
+    /// Returns the bounds of cold upstreams; `None` if the platform states none.
+    pub fn warmup_bounds(&self) -> Option<warmup_budget::Bounds> {
+        Some(warmup_budget::Bounds {
+            excess: self.bounds.warmup_excess?,
+            slack: self.bounds.warmup_slack?,
+        })
+    }
+
     /// Returns the name, zone and address under which peers know this balancer.
     pub fn peer_info(&self) -> PeerInfo {
         PeerInfo {
@@ -226,6 +240,8 @@
         flow_seconds,
         grace_seconds,
         evacuate_ms,
+        warmup_excess,
+        warmup_slack,
     } = settings.bounds;
     if !(1.0..=86_400.0).contains(&flow_seconds) {
         report("bounds.flow_seconds", "is not within 1 to 86400");
@@ -236,5 +252,22 @@
     if evacuate_ms.is_some_and(|millis| !(1.0..=3_600_000.0).contains(&millis)) {
         report("bounds.evacuate_ms", "is not within 1 to 3600000");
     }
+    if warmup_excess.is_some_and(|excess| !(0.0..=1_000.0).contains(&excess)) {
+        report("bounds.warmup_excess", "is not within 0 to 1000");
+    }
+    if warmup_slack.is_some_and(|slack| !(0.0..=1_000_000.0).contains(&slack)) {
+        report("bounds.warmup_slack", "is not within 0 to 1000000");
+    }
+    match (warmup_excess, warmup_slack) {
+        (Some(_), None) => report(
+            "bounds.warmup_slack",
+            "is missing beside bounds.warmup_excess",
+        ),
+        (None, Some(_)) => report(
+            "bounds.warmup_excess",
+            "is missing beside bounds.warmup_slack",
+        ),
+        _ => {}
+    }
     findings
 }
--- a/crates/skylarkflow/src/steer_tasks.rs
+++ b/crates/skylarkflow/src/steer_tasks.rs
@@ -6,9 +6,9 @@
         steer_daemon::Error,
         steer_data::UpstreamEvent,
         steer_http::{self, Server},
-        steer_peers,
+        steer_peers::{self, MemberPublisher},
         steer_probe::{self, Probe, Waker},
-        steer_registration::Registrar,
+        steer_registration::{RegisteredPeers, Registrar},
         steer_settings::Settings,
         steer_sources::{ObjectKind, TableSources},
         steer_state::State,
@@ -19,7 +19,7 @@
     skylarkflow_adapter::client::Store,
     skylarkflow_steering::{
         directory::Directory,
-        gossip::{self, Gossip, PeerInfo, Role},
+        gossip::{self, Gossip, Role},
         list_watch::{ListWatch, PeerTables},
         upstream::UpstreamId,
     },
@@ -60,7 +60,7 @@
     peer_tables: watch::Receiver<PeerTables>,
     peer_evacuations: watch::Receiver<PeerTables>,
     store_reads: watch::Receiver<u64>,
-    registered_peers: UnboundedSender<Vec<PeerInfo>>,
+    registered_peers: UnboundedSender<RegisteredPeers>,
     /// Tasks that call the store, restarted when its address changes.
     store_tasks: Vec<JoinHandle<()>>,
 }
@@ -76,6 +76,7 @@
         settings: Settings,
         forwarder: ForwarderHandle,
     ) -> Result<Tasks, Error> {
+        state.set_warmup_bounds(settings.warmup_bounds());
         let directory = Directory::new(settings.upstream_directory());
         let follows_evacuations = settings.bounds.evacuate_ms.is_some();
         let sources = TableSources::new(Arc::clone(state), directory, follows_evacuations);
@@ -129,6 +130,7 @@
             .build();
         let client = client.map_err(skylarkflow_store::Error::from)?;
         let channels = steer_peers::Channels {
+            members: MemberPublisher::new(Arc::clone(state), &tasks.settings),
             ended_upstreams: forwarder.ended_upstreams,
             registered_peers: registered_peers_receiver,
             role: role_sender,
@@ -163,6 +165,8 @@
     pub fn reload(&mut self, settings: Settings) -> Result<(), Error> {
         self.sources
             .set_directory_settings(settings.upstream_directory());
+        let state = self.sources.state();
+        state.set_warmup_bounds(settings.warmup_bounds());
         let is_store_changed = settings.store != self.settings.store;
         self.settings = Settings {
             store: settings.store,
@@ -221,6 +225,7 @@
             store,
             local: self.settings.peer_info(),
             registered_peers: self.registered_peers.clone(),
+            needs_own_entry: self.settings.warmup_bounds().is_some(),
             role: self.role.clone(),
         };
         self.store_tasks.push(tokio::spawn(registrar.run()));
--- a/crates/steering/src/balancer.rs
+++ b/crates/steering/src/balancer.rs
@@ -12,26 +12,23 @@
         segment::{Kind, Segment},
         speed::{self, Notice, Speeds},
         subset::Subset,
-        table::{Route, Table, Target, Version},
+        table::{Table, Version},
         tracker::{self, Evidence, FlowTracker, LatencySamples, Packet},
         upstream::{PoolName, Upstream, UpstreamId},
+        warmup_budget::{self, WarmupBudget},
     },
-    rand::{Rng, SeedableRng, rngs::SmallRng},
+    rand::{SeedableRng, rngs::SmallRng},
     skylarkflow_policy::{
         flow::Key,
         health::{self, Change, Monitor, Signal},
         id::Set,
     },
-    std::{mem, net::IpAddr, sync::Arc, time::Duration},
+    std::{mem, sync::Arc, time::Duration},
 };
 
 /// Idle timeout of tracked flows while no configuration is active.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Time after a pause of this process in which no opening packet is reset for overload: it may be old, and a
-/// retransmission may have opened its flow.
-const RESUME_GRACE: Duration = Duration::from_millis(250);
-
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -47,6 +44,8 @@
     pub health: health::Settings,
     /// Detection of upstreams that have ended.
     pub liveness: liveness::Settings,
+    /// Budgets of openings for cold upstreams.
+    pub warmup_budget: warmup_budget::Settings,
     /// Time within which a new configuration is active on every connected balancer: the longest that the platform allows
     /// in any deployment.
     pub max_config_lag: Duration,
@@ -71,6 +70,7 @@
                 ..health::Settings::default()
             },
             liveness: liveness::Settings::default(),
+            warmup_budget: warmup_budget::Settings::default(),
             max_config_lag: Duration::from_secs(6),
             pause_threshold: Duration::from_millis(500),
         }
@@ -155,6 +155,8 @@
         /// Whether it limits them now.
         is_limiting: bool,
     },
+    /// Report that all upstreams of a pool that could take a flow are cold, and their budgets are used up.
+    WarmupBudgetUsed(PoolName),
 }
 
 /// Why a packet is dropped.
@@ -168,27 +170,30 @@
     NoTable,
     /// No known upstream has its cookie.
     UnknownCookie,
+    /// The packet repeats an opening packet, and the budget of its cold upstream is used up.
+    WarmupBudgetUsed,
 }
 
 /// Decision logic of the data path of one balancer.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
-    tracker: FlowTracker,
-    monitor: Monitor,
-    liveness: LivenessTracker,
+    pub(crate) settings: Settings,
+    pub(crate) tracker: FlowTracker,
+    pub(crate) monitor: Monitor,
+    pub(crate) liveness: LivenessTracker,
     /// Remains empty unless the placement policy uses it.
-    knowledge: placement::Knowledge,
+    pub(crate) knowledge: placement::Knowledge,
     /// Rank among the balancers of the zone.
-    rank: Rank,
-    admission: PoolAdmission,
-    rng: SmallRng,
-    changes: Vec<Change>,
-    actions: Vec<Action>,
+    pub(crate) rank: Rank,
+    pub(crate) admission: PoolAdmission,
+    pub(crate) warmup_budget: WarmupBudget,
+    pub(crate) rng: SmallRng,
+    pub(crate) changes: Vec<Change>,
+    pub(crate) actions: Vec<Action>,
     /// Time of the last call.
-    last_call_at: Duration,
+    pub(crate) last_call_at: Duration,
     /// End of the last pause of this process.
-    resumed_at: Duration,
+    pub(crate) resumed_at: Duration,
 }
 
 impl Balancer {
@@ -205,6 +210,7 @@
             },
             rank: Rank::default(),
             admission: PoolAdmission::new(settings.admission),
+            warmup_budget: WarmupBudget::new(settings.warmup_budget),
             changes: Vec::new(),
             actions: Vec::new(),
             last_call_at: Duration::ZERO,
@@ -259,8 +265,27 @@
         mem::take(&mut self.actions)
     }
 
+    /// Adopts changed bounds of cold upstreams, or changed members that share their budgets.
+    pub fn set_warmup_inputs(
+        &mut self,
+        now: Duration,
+        table: Option<&Table>,
+        inputs: warmup_budget::Inputs,
+    ) {
+        self.warmup_budget.set_inputs(now, inputs);
+        if let Some(table) = table {
+            self.warmup_budget.update_table(now, table);
+        }
+    }
+
+    /// Returns the numbers of decisions about cold upstreams since the last call.
+    pub fn take_warmup_counts(&mut self) -> warmup_budget::Counts {
+        self.warmup_budget.take_counts()
+    }
+
     /// Updates the state of upstreams by the differences between a new table and the previous one.
     pub fn update_table(&mut self, now: Duration, previous: Option<&Table>, table: &Table) {
+        self.warmup_budget.update_table(now, table);
         for upstream in table.cookies.values() {
             let id = upstream.record.id;
             let was_registered = previous.is_some_and(|previous| previous.is_registered(upstream));
@@ -363,6 +388,7 @@
             self.actions
                 .push(Action::AdmissionChanged { pool, is_limiting });
         }
+        self.warmup_budget.tick(now);
         if let Some(table) = table {
             let holders = table.addresses.values();
             let registered: Set<UpstreamId> = holders.map(|holder| holder.id).collect();
@@ -390,7 +416,7 @@
     }
 
     /// Moves health changes and the actions of the liveness tracker to the pending actions.
-    fn collect_actions(&mut self, table: Option<&Table>) {
+    pub(crate) fn collect_actions(&mut self, table: Option<&Table>) {
         let changes = self.changes.drain(..).map(Action::HealthChanged);
         self.actions.extend(changes);
         let changes = self.knowledge.speeds.take_changes().into_iter();
@@ -423,90 +449,6 @@
         self.actions.extend(resets);
     }
 
-    fn handle_opening(
-        &mut self,
-        now: Duration,
-        table: &Table,
-        key: Key,
-        retransmission: u32,
-    ) -> Verdict {
-        let Some(route) = table.routes.get(&key.service) else {
-            return Verdict::Reset(ResetReason::NoRoute);
-        };
-        if !table.accepts_flows {
-            return Verdict::Drop(DropReason::NoTable);
-        }
-        let mut unanswered = None;
-        let mut duplicate_of = None;
-        if let Some((upstream, last)) = self.tracker.opening_flow(&key) {
-            if retransmission > last {
-                unanswered = Some(Arc::clone(upstream));
-            } else if table.is_evacuated(upstream) {
-                duplicate_of = Some(last);
-            } else {
-                return forward_opening(table, Arc::clone(upstream), retransmission, 0.0);
-            }
-        }
-        if let Some(upstream) = &unanswered {
-            self.record_signal(now, upstream, Signal::TimedOut);
-            self.liveness.record_missing_answer(now, upstream.record.id);
-            self.collect_actions(Some(table));
-        }
-        // The flow may be open already if this packet is not the first one: a retransmission, a duplicate, or an old
-        // packet that was read after a pause.
-        let may_be_open = retransmission > 0
-            || self.tracker.first_packet_at(&key).is_some()
-            || self.tracker.is_full()
-            || now < self.resumed_at + RESUME_GRACE;
-        let choice = match self.choose_upstream(now, table, route, key.caller.ip(), may_be_open) {
-            Ok(choice) => choice,
-            Err(_) if duplicate_of.is_some() => {
-                return Verdict::Drop(DropReason::DuplicateOpening);
-            }
-            Err(reason) => return Verdict::Reset(reason),
-        };
-        let last = duplicate_of.unwrap_or(retransmission);
-        self.tracker
-            .record_opening(now, key, last, &choice.upstream);
-        forward_opening(table, choice.upstream, retransmission, choice.score)
-    }
-
-    fn choose_upstream(
-        &mut self,
-        now: Duration,
-        table: &Table,
-        route: &Route,
-        caller: IpAddr,
-        may_be_open: bool,
-    ) -> Result<placement::Choice, ResetReason> {
-        let target = draw_target(&route.targets, &mut self.rng).ok_or(ResetReason::NoUpstream)?;
-        let upstreams = table.pools.get(&target.pool);
-        let upstreams = upstreams.ok_or(ResetReason::NoUpstream)?;
-        let is_admitted = may_be_open || upstreams.is_empty() || {
-            let priority = route.level.priority;
-            let rng = &mut self.rng;
-            self.admission
-                .admit(now, &target.pool, priority, caller, rng)
-        };
-        if !is_admitted {
-            return Err(ResetReason::Overloaded);
-        }
-        let (monitor, liveness) = (&self.monitor, &self.liveness);
-        let choice = placement::choose(
-            &self.settings.placement,
-            now,
-            &self.settings.zone,
-            upstreams,
-            |upstream| {
-                let id = upstream.record.id;
-                !monitor.looks_down(id) && !liveness.is_suspect_or_dead(id)
-            },
-            &self.knowledge,
-            &mut self.rng,
-        );
-        choice.ok_or(ResetReason::NoUpstream)
-    }
-
     fn handle_established(
         &mut self,
         now: Duration,
@@ -576,7 +518,7 @@
         }
     }
 
-    fn record_signal(&mut self, now: Duration, upstream: &Upstream, signal: Signal) {
+    pub(crate) fn record_signal(&mut self, now: Duration, upstream: &Upstream, signal: Signal) {
         let id = upstream.record.id;
         self.monitor.add(id);
         self.changes.extend(self.monitor.observe(now, id, signal));
@@ -590,38 +532,3 @@
         placement: None,
     }
 }
-
-fn forward_opening(
-    table: &Table,
-    upstream: Arc<Upstream>,
-    retransmission: u32,
-    score: f64,
-) -> Verdict {
-    Verdict::Forward {
-        cookie: upstream.cookie,
-        upstream,
-        placement: Some(Placement {
-            version: table.version,
-            score,
-            retransmission,
-        }),
-    }
-}
-
-/// Draws a target at random by weight.
-fn draw_target<'a>(targets: &'a [Target], rng: &mut SmallRng) -> Option<&'a Target> {
-    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
-    if let [target] = targets {
-        return Some(target);
-    }
-    if total == 0 {
-        return None;
-    }
-    let mut remaining = rng.random_range(0..total);
-    targets.iter().find(|target| {
-        let weight = u64::from(target.weight);
-        let is_drawn = remaining < weight;
-        remaining = remaining.saturating_sub(weight);
-        is_drawn
-    })
-}
