--- a/crates/skylarkflow/tests/settings.rs
+++ b/crates/skylarkflow/tests/settings.rs
@@ -3,7 +3,11 @@
 mod support;
 
 use {
-    skylarkflow::settings::{self, Admin, Drain, Limits, Settings, Workers},
+    skylarkflow::{
+        settings::{self, Admin, Drain, Limits, Settings, Workers},
+        steer_settings,
+    },
+    skylarkflow_steering::admission,
     std::{fs, net::UdpSocket, process::Command, time::Duration},
     tempfile::TempDir,
 };
@@ -143,3 +147,19 @@
         assert!(page.contains(&format!("| `{name}` |")), "{name}");
     }
 }
+
+/// Guards against a steering balancer that refuses flows without being asked to, or that ignores the setting.
+#[test]
+fn admission_of_a_steering_balancer_is_off_unless_it_is_set() {
+    let directory = TempDir::new().expect("a temporary directory");
+    let path = directory.path().join("steer.yaml");
+    let read = |text: &str| {
+        fs::write(&path, text).expect("the settings are written");
+        let settings = steer_settings::from_path(&path).expect("valid settings");
+        settings.admission()
+    };
+    assert_eq!(read("zone: a\n"), None);
+    assert_eq!(read("load:\n  admission: none\n"), None);
+    let adaptive = read("load:\n  admission: adaptive\n");
+    assert_eq!(adaptive, Some(admission::Settings::default()));
+}
