--- a/crates/steering/tests/overload/main.rs
+++ b/crates/steering/tests/overload/main.rs
@@ -196,8 +196,8 @@
     }
 }
 
-/// Checks the goals at one load, with callers that retry. With exponential work, the goals for served requests and for refusals exclude each other while balancers place flows
-/// without knowing each other's; the figure is printed.
+/// Checks the goals at one load, with callers that retry. With exponential work, the goals for served requests and for
+/// refusals exclude each other while balancers place flows without knowing each other's; the figure is printed.
 fn check_goals(load: f64) {
     for work in [Work::Constant, Work::Exponential] {
         let today = run(Course::Step(load), true, work, false);
