--- a/crates/skylarkflow/src/steer_settings.rs
+++ b/crates/skylarkflow/src/steer_settings.rs
@@ -5,7 +5,7 @@
         settings::{self, Error, Finding, Log},
         steer_sources::ObjectKind,
     },
-    serde::Deserialize,
+    serde::{Deserialize, Deserializer, de::Error as _},
     skylarkflow_steering::{
         admission, directory, gossip::PeerInfo, lifecycle, list_watch, placement, warmup_budget,
     },
@@ -64,10 +64,13 @@
     /// Grace period in seconds between SIGTERM and SIGKILL.
     pub grace_seconds: f64,
     /// Time in milliseconds within which the evacuation of a zone has to be in force; `None` if zones are not evacuated.
+    #[serde(deserialize_with = "optional_number")]
     pub evacuate_ms: Option<f64>,
     /// Factor of the rate of a pool in the bound of openings for a cold upstream; `None` without a bound.
+    #[serde(deserialize_with = "optional_number")]
     pub warmup_excess: Option<f64>,
     /// Openings in a second beside it.
+    #[serde(deserialize_with = "optional_number")]
     pub warmup_slack: Option<f64>,
 }
 
@@ -105,6 +108,29 @@
     Adaptive,
 }
 
+/// Number of which a template writes the text between quotes.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum OptionalNumber {
+    Number(f64),
+    Text(String),
+}
+
+/// Reads a number that may be absent: the text is empty if the platform does not state it, or is still the placeholder
+/// if the template was rendered by a program that does not know it.
+fn optional_number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<f64>, D::Error> {
+    match Option::<OptionalNumber>::deserialize(deserializer)? {
+        None => Ok(None),
+        Some(OptionalNumber::Number(number)) => Ok(Some(number)),
+        Some(OptionalNumber::Text(text)) if text.is_empty() || text.starts_with("{{") => Ok(None),
+        Some(OptionalNumber::Text(text)) => {
+            // YAML writes special values with a point, as in `.nan`.
+            let text = text.replace(".nan", "nan").replace(".inf", "inf");
+            text.parse().map(Some).map_err(D::Error::custom)
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
