--- a/crates/skylarkflow/tests/steer.rs
+++ b/crates/skylarkflow/tests/steer.rs
@@ -220,7 +220,7 @@
 }
 
 /// Optional bounds in the template of the settings.
-const OPTIONAL_BOUNDS: [&str; 3] = ["EvacuateMs", "WarmupExcess", "WarmupSlack"];
+const OPTIONAL_BOUNDS: [&str; 3] = ["evacuate_ms", "warmup_excess", "warmup_slack"];
 
 /// Returns the template of the settings with a plausible value in place of each tag, and `bound` in place of those of the
 /// optional bounds.
