--- a/review/stand-in-2/src/case_config.rs
+++ b/review/stand-in-2/src/case_config.rs
@@ -1,10 +1,10 @@
-//! CONFIG: all processes are killed at the same moment and start again, and the configuration changes half a second later.
+//! CONFIG: all processes are killed at the same moment and start again, and the configuration changes half a second after
+//! the start, or just before the kill.
 
 use {
     crate::{
         Outcome,
-        client::End,
-        site::{OTHER_SERVICE, SERVICE, Site},
+        site::{OTHER_SERVICE, SERVICE, Site, seconds},
     },
     std::{
         collections::BTreeMap,
@@ -26,6 +26,15 @@
 /// Time without trouble before the kill.
 const CALM: Duration = Duration::from_millis(6_000);
 
+/// When the configuration changes, and which machines there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// After the start.
+    ChangeAfterStart,
+    /// Just before the kill; each machine has taken the place of one that was removed permanently.
+    ChangeBeforeKill,
+}
+
 /// Time from the kill to the start.
 const DOWN: Duration = Duration::from_millis(600);
 
@@ -35,12 +44,15 @@
 /// Time for which clients go on after the change.
 const SERVING: Duration = Duration::from_millis(9_000);
 
-pub fn run(has_trouble: bool) -> Option<Outcome> {
-    let mut site = Site::start([[3, 3, 2], [1, 1, 1]], LAG)?;
+pub fn run(order: Order, has_trouble: bool) -> Option<Outcome> {
+    let is_after_start = order == Order::ChangeAfterStart;
+    let mut site = Site::start([[3, 3, 2], [1, 1, 1]], LAG, usize::from(!is_after_start))?;
     site.start_clients();
     site.settle()?;
     thread::sleep(CALM);
     let count = site.processes.len();
+    let change = |site: &Site| site.configure(7, OTHER_SERVICE);
+    let changed_before = (!is_after_start).then(|| change(&site));
     if has_trouble {
         for at in 0..count {
             site.kill_process(at);
@@ -51,8 +63,12 @@
         }
     }
     let started = Instant::now();
-    thread::sleep(CHANGE_DELAY);
-    let acknowledged = site.configure(7, OTHER_SERVICE);
+    let acknowledged = changed_before.unwrap_or_else(|| {
+        thread::sleep(CHANGE_DELAY);
+        change(&site)
+    });
+    let event = format!("version 7 acknowledged: the route leads to {OTHER_SERVICE}");
+    site.events.push((acknowledged, event));
     thread::sleep(SERVING);
     site.stop_clients();
 
@@ -62,14 +78,12 @@
     let mut record = String::new();
     let _ = writeln!(
         record,
-        "trouble: {has_trouble}; all {count} processes were killed and started again {:.3} s before the acknowledgement\n\
-         times below are seconds after the store has acknowledged version 7, by which the route leads to {OTHER_SERVICE}",
-        acknowledged.duration_since(started).as_secs_f64()
+        "trouble: {has_trouble}; order: {order:?}; without trouble, none of the {count} processes is killed\n\
+         times below are seconds after the store has acknowledged version 7, by which the route leads to {OTHER_SERVICE}\n\
+         start of the processes: {:.3}",
+        seconds(acknowledged, started)
     );
-    for end in [End::Answered, End::Refused, End::Broken, End::TimedOut] {
-        let count = attempts.iter().filter(|attempt| attempt.end == end).count();
-        let _ = writeln!(record, "requests {end:?}: {count}");
-    }
+    let _ = write!(record, "{}", site.record(acknowledged));
     let service_of = |id: u64| {
         let mut endpoints = site.endpoints.iter();
         endpoints
--- a/review/stand-in-2/src/case_drain.rs
+++ b/review/stand-in-2/src/case_drain.rs
@@ -1,7 +1,7 @@
 //! DRAIN: the machines that read the current store are lost at the same moment, and an endpoint drains.
 
 use {
-    crate::{Outcome, client::End, site::Site},
+    crate::{Outcome, site::Site},
     std::{
         fmt::Write,
         thread,
@@ -12,6 +12,15 @@
 /// Age of the copies from which the store serves calls with `Serializable` = 1: seconds.
 const LAG: Duration = Duration::from_millis(5_000);
 
+/// What the case relies on besides the loss.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Setting {
+    /// The copies are old.
+    OldCopies,
+    /// The copies are current, and each machine has taken the place of two earlier ones.
+    ReplacedMachines,
+}
+
 /// `DrainMs`.
 const DRAIN: Duration = Duration::from_millis(3_000);
 
@@ -24,8 +33,12 @@
 /// Time for which the endpoint goes on serving.
 const SERVING: Duration = Duration::from_millis(8_000);
 
-pub fn run(has_trouble: bool) -> Option<Outcome> {
-    let mut site = Site::start([[3, 3, 2], [0; 3]], LAG)?;
+pub fn run(setting: Setting, has_trouble: bool) -> Option<Outcome> {
+    let (lag, replaced) = match setting {
+        Setting::OldCopies => (LAG, 0),
+        Setting::ReplacedMachines => (Duration::ZERO, 2),
+    };
+    let mut site = Site::start([[3, 3, 2], [0; 3]], lag, replaced)?;
     site.start_clients();
     site.settle()?;
     thread::sleep(CALM);
@@ -39,6 +52,8 @@
     thread::sleep(DRAIN_DELAY);
     let leaving = &site.endpoints[0];
     let acknowledged = leaving.report(&site.store, "draining");
+    let event = format!("endpoint i-{:x}: draining acknowledged", leaving.id);
+    site.events.push((acknowledged, event));
     thread::sleep(SERVING);
     site.stop_clients();
 
@@ -53,14 +68,11 @@
         .collect();
     let _ = writeln!(
         record,
-        "trouble: {has_trouble}; machines that read the current store: {lost:?}, lost {:.3} s before the acknowledgement\n\
+        "trouble: {has_trouble}; setting: {setting:?}; machines that read the current store: {lost:?}, lost {:.3} s before the acknowledgement\n\
          times below are seconds after the store has acknowledged that endpoint i-{leaving:x} is draining",
         acknowledged.duration_since(lost_at).as_secs_f64()
     );
-    for end in [End::Answered, End::Refused, End::Broken, End::TimedOut] {
-        let count = attempts.iter().filter(|attempt| attempt.end == end).count();
-        let _ = writeln!(record, "requests {end:?}: {count}");
-    }
+    let _ = write!(record, "{}", site.record(acknowledged));
     let mut late = 0;
     let mut last_by_machine = std::collections::BTreeMap::new();
     for opening in openings
--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -11,6 +11,8 @@
 mod site;
 mod store;
 
+use case_config::Order;
+use case_drain::Setting;
 use std::{env, fs, path::PathBuf, process::ExitCode};
 
 /// What a case has seen.
@@ -28,8 +30,10 @@
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
-        "config" => case_config::run(has_trouble),
-        "drain" => case_drain::run(has_trouble),
+        "config" => case_config::run(Order::ChangeAfterStart, has_trouble),
+        "config-replaced" => case_config::run(Order::ChangeBeforeKill, has_trouble),
+        "drain" => case_drain::run(Setting::OldCopies, has_trouble),
+        "drain-replaced" => case_drain::run(Setting::ReplacedMachines, has_trouble),
         _ => None,
     };
     let Some(Outcome { is_broken, record }) = outcome else {
--- a/review/stand-in-2/src/site.rs
+++ b/review/stand-in-2/src/site.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         client::{Client, End},
-        endpoint::{Endpoint, Openings},
+        endpoint::{Endpoint, Opening, Openings},
         router::{self, Daemon, Router},
         store::Store,
     },
     std::{
+        collections::HashMap,
+        fmt::Write,
         fs,
         net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
         path::{Path, PathBuf},
@@ -35,6 +37,9 @@
 /// Longest time from the start in which the daemons find each other, with lists of the store from its copies.
 const SETTLING: Duration = Duration::from_secs(60);
 
+/// Time for which the machines run that are replaced.
+const REPLACED_AFTER: Duration = Duration::from_secs(4);
+
 pub const SERVICE: &str = "dispatch";
 pub const OTHER_SERVICE: &str = "manifests";
 
@@ -62,6 +67,8 @@
     pub endpoints: Vec<Endpoint>,
     pub openings: Openings,
     pub attempts: Arc<Mutex<Vec<Attempt>>>,
+    /// What was started, killed and acknowledged.
+    pub events: Vec<(Instant, String)>,
     pub service: SocketAddrV4,
     run: Vec<String>,
     folder: PathBuf,
@@ -86,8 +93,9 @@
 impl Site {
     /// Starts the store, endpoints and daemons, and waits until all daemons are ready.
     ///
-    /// `counts` has the number of endpoints of both services in each zone; copies of the store are behind by `lag`.
-    pub fn start(counts: [[usize; 3]; 2], lag: Duration) -> Option<Site> {
+    /// `counts` has the number of endpoints of both services in each zone; copies of the store are behind by `lag`. Each
+    /// machine has taken the place of `replaced` earlier ones, one after the other, which were removed permanently.
+    pub fn start(counts: [[usize; 3]; 2], lag: Duration, replaced: usize) -> Option<Site> {
         let net = free_net()?;
         let client_port = free_port(Ipv4Addr::new(127, net, 1, 1))?;
         let ports = [client_port, free_port(Ipv4Addr::new(127, net, 1, 1))?];
@@ -131,30 +139,42 @@
             .map(str::to_owned)
             .collect();
         let template = fs::read_to_string(value("template")?).ok()?;
-        let mut processes = Vec::new();
-        let mut daemons = Vec::new();
-        for (zone, count) in DAEMONS.into_iter().enumerate() {
-            for at in 1..=count {
-                let ip = Ipv4Addr::new(127, net, 1 + zone as u8, at as u8);
-                let name = format!("front-{}-{at}", ZONES[zone]);
-                let text = render(&template, &name, zone, ip, ports, store_address);
+        let machines = |first: usize| {
+            let zones = DAEMONS.into_iter().enumerate();
+            let machines = zones.flat_map(move |(zone, count)| {
+                (0..count).map(move |at| (zone, first * count + at + 1))
+            });
+            let template = &template;
+            let folder = &folder;
+            machines.map(move |(zone, number)| {
+                let ip = Ipv4Addr::new(127, net, 1 + zone as u8, number as u8);
+                let name = format!("front-{}-{number}", ZONES[zone]);
+                let text = render(template, &name, zone, ip, ports, store_address);
                 let settings = folder.join(format!("{name}.yaml"));
                 fs::write(&settings, text).ok()?;
                 let readiness = SocketAddrV4::new(ip, ports[1]);
-                daemons.push(Daemon {
+                let daemon = Daemon {
                     zone,
                     datagrams: SocketAddrV4::new(ip, ports[0]),
                     readiness,
-                });
-                processes.push(Process {
+                };
+                let process = Process {
                     name,
                     ip,
                     readiness,
                     settings,
                     child: None,
-                });
-            }
+                };
+                Some((daemon, process))
+            })
+        };
+        let mut earlier = Vec::new();
+        for round in 0..replaced {
+            let machines: Option<Vec<_>> = machines(round).collect();
+            earlier.push(machines?);
         }
+        let machines: Option<Vec<_>> = machines(replaced).collect();
+        let (daemons, processes) = machines?.into_iter().unzip();
         let mut site = Site {
             store,
             router: Router::start(daemons, ZONES.len()),
@@ -162,6 +182,7 @@
             endpoints,
             openings,
             attempts: Arc::default(),
+            events: Vec::new(),
             service,
             run,
             folder,
@@ -171,6 +192,18 @@
             clients: Vec::new(),
         };
         site.configure(1, SERVICE);
+        let last = std::mem::take(&mut site.processes);
+        for machines in earlier {
+            site.processes = machines.into_iter().map(|(_, process)| process).collect();
+            for at in 0..site.processes.len() {
+                site.start_process(at)?;
+            }
+            thread::sleep(REPLACED_AFTER);
+            for at in 0..site.processes.len() {
+                site.kill_process(at);
+            }
+        }
+        site.processes = last;
         // The copies of the store have what was written before the system starts.
         thread::sleep(lag + Duration::from_millis(200));
         for at in 0..site.processes.len() {
@@ -219,6 +252,8 @@
             .stderr(Stdio::null())
             .spawn();
         process.child = Some(child.ok()?);
+        let event = format!("started {} at {}", process.name, process.ip);
+        self.events.push((Instant::now(), event));
         Some(())
     }
 
@@ -227,6 +262,8 @@
         if let Some(mut child) = self.processes[at].child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            let event = format!("killed {}", self.processes[at].name);
+            self.events.push((Instant::now(), event));
         }
     }
 
@@ -282,6 +319,65 @@
     }
 }
 
+/// Requests that were sent earlier than this before the acknowledgement are only counted.
+const RECORDED_BEFORE: Duration = Duration::from_secs(1);
+
+impl Site {
+    /// Returns the record of a run: all events, and each request with what became of it, by the seconds since
+    /// `acknowledged`.
+    pub fn record(&self, acknowledged: Instant) -> String {
+        let since = |at: Instant| seconds(acknowledged, at);
+        let mut lines: Vec<(Instant, String)> = self.events.clone();
+        let attempts = self.attempts.lock().unwrap();
+        let openings = self.openings.lock().unwrap();
+        let mut taken: HashMap<SocketAddrV4, Vec<&Opening>> = HashMap::new();
+        for opening in openings.iter() {
+            taken.entry(opening.source).or_default().push(opening);
+        }
+        let mut counts =
+            [End::Answered, End::Refused, End::Broken, End::TimedOut].map(|end| (end, 0));
+        for attempt in attempts.iter() {
+            for (end, count) in &mut counts {
+                *count += u32::from(*end == attempt.end);
+            }
+            if attempt.sent + RECORDED_BEFORE < acknowledged {
+                continue;
+            }
+            let mut line = format!("sent {}", attempt.source);
+            for opening in taken.get(&attempt.source).into_iter().flatten() {
+                let machines = self.processes.iter();
+                let machine = machines.filter(|process| process.ip == opening.machine);
+                let names: Vec<&str> = machine.map(|process| &*process.name).collect();
+                let _ = write!(
+                    line,
+                    "; taken {:.3} by i-{:x} from {}, run {}",
+                    since(opening.at),
+                    opening.endpoint,
+                    names.join(" "),
+                    opening.runs
+                );
+            }
+            let _ = write!(line, "; {:?}", attempt.end);
+            lines.push((attempt.sent, line));
+        }
+        lines.sort_by_key(|(at, _)| *at);
+        let mut text = String::new();
+        for (end, count) in counts {
+            let _ = writeln!(text, "requests {end:?}: {count}");
+        }
+        for (at, line) in lines {
+            let _ = writeln!(text, "{:8.3} {line}", since(at));
+        }
+        text
+    }
+}
+
+/// Returns the seconds from one time to another, which may be earlier.
+pub fn seconds(from: Instant, to: Instant) -> f64 {
+    let after = to.saturating_duration_since(from).as_secs_f64();
+    after - from.saturating_duration_since(to).as_secs_f64()
+}
+
 pub fn unix_ms() -> u64 {
     let now = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
     now.as_millis() as u64
